--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets for developers and CI. Tools are pinned: see tools/go.mod and LINTER.
+LINTER   := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+TOOLS    := $(CURDIR)/.bin
+PACKAGES := ./cmd/... ./internal/... ./test/...
+MODULE   := github.com/magnoliastep/magnoliastep
+
+.PHONY: build demo test generate format lint tools
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo: build
+	./test/demo.sh
+
+test:
+	go test -race $(PACKAGES)
+
+tools: $(TOOLS)/buf $(TOOLS)/golangci-lint
+
+$(TOOLS)/buf:
+	cd tools && GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf \
+		google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go mvdan.cc/gofumpt
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) go install $(LINTER)
+
+generate: tools
+	PATH="$(TOOLS):$$PATH" buf generate
+
+format: tools
+	$(TOOLS)/golangci-lint fmt ./...
+
+lint: tools
+	$(TOOLS)/golangci-lint run ./...
--- /dev/null
+++ b/internal/command/controller/session.go
@@ -0,0 +1,131 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1/magnoliastepv1connect"
+)
+
+const (
+	callTimeout   = 10 * time.Second
+	columnPadding = 2
+	outputJSON    = "json"
+)
+
+type (
+	// session is what the verbs share: the node, the token and the output.
+	session struct {
+		config Config
+		client magnoliastepv1connect.OperatorServiceClient
+		token  string
+		output string
+	}
+
+	// callError is a call that did not end with the code OK.
+	callError struct {
+		code    pb.ResultCode
+		message string
+	}
+)
+
+func newSession(c Config, v *verbs) *session {
+	return &session{
+		config: c,
+		client: magnoliastepv1connect.NewOperatorServiceClient(&http.Client{Timeout: callTimeout}, "http://"+v.Node),
+		token:  v.Token,
+		output: v.Output,
+	}
+}
+
+// request returns the message with the bearer token.
+func request[T any](s *session, m *T) *connect.Request[T] {
+	r := connect.NewRequest(m)
+	r.Header().Set("Authorization", "Bearer "+s.token)
+	return r
+}
+
+// context bounds one call.
+func (s *session) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), callTimeout)
+}
+
+// table writes the header and rows with aligned columns.
+func (s *session) table(header string, rows []string) error {
+	w := tabwriter.NewWriter(s.config.Output, 0, 0, columnPadding, ' ', 0)
+	_, _ = fmt.Fprintln(w, header)
+	for _, r := range rows {
+		_, _ = fmt.Fprintln(w, r)
+	}
+	return w.Flush()
+}
+
+func (s *session) json(m proto.Message) error {
+	_, err := fmt.Fprintln(s.config.Output, protojson.MarshalOptions{UseProtoNames: true, Multiline: true}.Format(m))
+	return err
+}
+
+// report writes the outcome of a change, or returns it as an error.
+func (s *session) report(key string, o *pb.ChangeOutcome) error {
+	if s.output == outputJSON {
+		if err := s.json(o); err != nil {
+			return err
+		}
+	}
+	if err := check(o.GetCode(), o.GetMessage()); err != nil {
+		return fmt.Errorf("%s: %w", key, err)
+	}
+	if s.output == outputJSON {
+		return nil
+	}
+	_, err := fmt.Fprintf(s.config.Output, "%s: version %d, change %s\n", key, o.GetVersion(), o.GetChangeId())
+	return err
+}
+
+func newChangeID() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+func check(code pb.ResultCode, message string) error {
+	if code == pb.ResultCode_RESULT_CODE_OK {
+		return nil
+	}
+	return &callError{code: code, message: message}
+}
+
+func unreachable(err error) error {
+	return &callError{
+		code:    pb.ResultCode_RESULT_CODE_PLATFORM_UNAVAILABLE,
+		message: "node cannot be reached: " + err.Error(),
+	}
+}
+
+// Error implements error.
+func (e *callError) Error() string {
+	return fmt.Sprintf("code %d: %s", e.code, e.message)
+}
+
+func (e *callError) exitCode() int {
+	switch e.code {
+	case pb.ResultCode_RESULT_CODE_VERSION_CONFLICT:
+		return exitConflict
+	case pb.ResultCode_RESULT_CODE_CHANGE_OUTCOME_UNKNOWN:
+		return exitUnknown
+	case pb.ResultCode_RESULT_CODE_PLATFORM_UNAVAILABLE:
+		return exitUnavailable
+	case pb.ResultCode_RESULT_CODE_UNAUTHENTICATED, pb.ResultCode_RESULT_CODE_ROLE_MISSING,
+		pb.ResultCode_RESULT_CODE_NOT_NAMED_DIRECTOR:
+		return exitDenied
+	default:
+		return exitFailure
+	}
+}
--- /dev/null
+++ b/internal/command/daemon/run.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/coder/quartz"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/node/assembler"
+	"github.com/magnoliastep/magnoliastep/internal/platform/client"
+	"github.com/magnoliastep/magnoliastep/internal/settings/decoder"
+	"github.com/magnoliastep/magnoliastep/internal/settings/filler"
+)
+
+type (
+	runVerb struct {
+		Settings string `required:"" type:"existingfile" help:"Settings file (JSON)."`
+	}
+)
+
+// Help shows examples.
+func (v *runVerb) Help() string {
+	return "Example:\n  stepd run --settings node-a1.json"
+}
+
+// Run implements the verb.
+func (v *runVerb) Run(s *streams) error {
+	settings := &pb.NodeSettings{}
+	if err := decoder.DecodeFile(v.Settings, settings); err != nil {
+		return err
+	}
+	filler.Fill(settings)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	node := assembler.New(assembler.Config{
+		Settings: settings,
+		Store:    client.New(client.Config{URLs: settings.GetPlatformUrls()}),
+		Clock:    quartz.NewReal(),
+		Logger:   newLogger(s.errors, settings.GetLogLevel()).With("node", settings.GetNodeName()),
+	})
+	return node.Run(ctx)
+}
--- /dev/null
+++ b/internal/config/keeper/keeper.go
@@ -0,0 +1,151 @@
+// Package keeper holds the configuration in force on this node. Objects flow in from the platform's
+// watch and from other nodes, in any order and more than once; an object is taken only when its version
+// is newer than the one at hand, so nothing in force ever reverts. An immutable index flows out.
+package keeper
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
+	"github.com/magnoliastep/magnoliastep/internal/config/keyer"
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
+)
+
+type (
+	// Config holds what a Keeper needs.
+	Config struct {
+		Asserter *asserter.Asserter
+	}
+
+	// Keeper holds the newest version of each configuration object. It is safe for concurrent use.
+	Keeper struct {
+		asserter *asserter.Asserter
+		index    atomic.Pointer[indexer.Index]
+		// digest is the sum of the versions of all objects.
+		digest atomic.Uint64
+		mutex  sync.Mutex
+		// objects has the newest version seen of each key; versions only grow.
+		objects map[string]*pb.ConfigObject
+		// completeTo is a platform revision up to which no object is missing.
+		completeTo int64
+		observers  []func(changed []*pb.ConfigObject)
+	}
+)
+
+// New returns an empty Keeper.
+func New(c Config) *Keeper {
+	k := &Keeper{asserter: c.Asserter, objects: map[string]*pb.ConfigObject{}}
+	k.index.Store(indexer.New(nil))
+	return k
+}
+
+// Index returns the index of the objects in force.
+func (k *Keeper) Index() *indexer.Index {
+	return k.index.Load()
+}
+
+// Digest returns the sum of the versions of all objects in force. Nodes with equal digests have, but
+// for a vanishing chance, the same configuration.
+func (k *Keeper) Digest() uint64 {
+	return k.digest.Load()
+}
+
+// CompleteTo returns the platform revision up to which no object is missing here.
+func (k *Keeper) CompleteTo() int64 {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.completeTo
+}
+
+// Observe registers a function that is called after each change with the objects that were taken.
+// It must not call Apply.
+func (k *Keeper) Observe(observer func(changed []*pb.ConfigObject)) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.observers = append(k.observers, observer)
+}
+
+// Apply takes the objects that are newer than those at hand and returns them. completeTo is a
+// platform revision up to which the sender has all objects, or zero.
+func (k *Keeper) Apply(objects []*pb.ConfigObject, completeTo int64) []*pb.ConfigObject {
+	taken, observers := k.take(objects, completeTo)
+	if len(taken) == 0 {
+		return nil
+	}
+	for _, o := range observers {
+		o(taken)
+	}
+	return taken
+}
+
+// Versions returns the version in force of each key.
+func (k *Keeper) Versions() map[string]int64 {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	versions := make(map[string]int64, len(k.objects))
+	for key, o := range k.objects {
+		versions[key] = o.GetVersion()
+	}
+	return versions
+}
+
+// NewerThan returns the objects that are newer than the versions given or missing there.
+func (k *Keeper) NewerThan(versions map[string]int64) []*pb.ConfigObject {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	var newer []*pb.ConfigObject
+	for key, o := range k.objects {
+		if o.GetVersion() > versions[key] {
+			newer = append(newer, o)
+		}
+	}
+	return newer
+}
+
+// Objects returns all objects, tombstones included.
+func (k *Keeper) Objects() []*pb.ConfigObject {
+	return k.NewerThan(nil)
+}
+
+func (k *Keeper) take(
+	objects []*pb.ConfigObject, completeTo int64,
+) (taken []*pb.ConfigObject, observers []func([]*pb.ConfigObject)) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for _, o := range objects {
+		if k.takeOne(o) {
+			taken = append(taken, o)
+		}
+	}
+	k.completeTo = max(k.completeTo, completeTo)
+	if len(taken) == 0 {
+		return nil, nil
+	}
+	k.index.Store(indexer.New(k.allLocked()))
+	return taken, k.observers
+}
+
+func (k *Keeper) takeOne(o *pb.ConfigObject) bool {
+	key := keyer.Of(o)
+	if key == "" {
+		return false
+	}
+	before := k.objects[key].GetVersion()
+	if o.GetVersion() <= before {
+		return false
+	}
+	k.objects[key] = o
+	k.digest.Add(uint64(o.GetVersion() - before))
+	k.asserter.Check(k.objects[key].GetVersion() > before, "config_version_never_goes_back", "key", key)
+	return true
+}
+
+func (k *Keeper) allLocked() []*pb.ConfigObject {
+	all := make([]*pb.ConfigObject, 0, len(k.objects))
+	for _, o := range k.objects {
+		all = append(all, o)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/node/assembler/assembler.go
@@ -0,0 +1,271 @@
+// Package assembler puts one node together from its parts and runs it. Settings, a store, a peer
+// listener and a clock flow in; a running node flows out. Tests pass fakes at the same places.
+package assembler
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/coder/quartz"
+
+	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
+	"github.com/magnoliastep/magnoliastep/internal/config/healer"
+	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
+	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
+	"github.com/magnoliastep/magnoliastep/internal/entry/directory"
+	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
+	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
+	"github.com/magnoliastep/magnoliastep/internal/entry/tracker"
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
+	"github.com/magnoliastep/magnoliastep/internal/leaf/dispatcher"
+	"github.com/magnoliastep/magnoliastep/internal/leaf/sender"
+	"github.com/magnoliastep/magnoliastep/internal/operator/applier"
+	"github.com/magnoliastep/magnoliastep/internal/operator/authorizer"
+	operatorserver "github.com/magnoliastep/magnoliastep/internal/operator/server"
+	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
+	"github.com/magnoliastep/magnoliastep/internal/peer/router"
+	"github.com/magnoliastep/magnoliastep/internal/platform/client"
+	"github.com/magnoliastep/magnoliastep/internal/view/placer"
+	"github.com/magnoliastep/magnoliastep/internal/view/prober"
+)
+
+const (
+	outcomeKeepFor    = 10 * time.Minute
+	readHeaderTimeout = 5 * time.Second
+)
+
+type (
+	// Store is the part of the platform that a node uses.
+	Store interface {
+		Get(ctx context.Context, key string) (client.Object, error)
+		List(ctx context.Context, prefix string) (client.Listing, error)
+		Watch(ctx context.Context, after int64, wait time.Duration) (client.Listing, error)
+		Create(ctx context.Context, key string, value []byte) (int64, error)
+		Update(ctx context.Context, key string, value []byte, version int64) (int64, error)
+		VMs(ctx context.Context) ([]client.VM, error)
+	}
+
+	// Config holds what a Node needs.
+	Config struct {
+		// Settings are checked and have all defaults filled in.
+		Settings *pb.NodeSettings
+		Store    Store
+		Clock    quartz.Clock
+		Logger   *slog.Logger
+		// NewSender connects to a leaf; nil means HTTP.
+		NewSender func(l *pb.Leaf) dispatcher.LeafSender
+		// Dial connects to a peer; nil means TCP.
+		Dial func(ctx context.Context, address string) (net.Conn, error)
+	}
+
+	// Node is one assembled node.
+	Node struct {
+		config     Config
+		asserter   *asserter.Asserter
+		metrics    *metrics.Set
+		keeper     *keeper.Keeper
+		watcher    *watcher.Watcher
+		healer     *healer.Healer
+		messenger  *messenger.Messenger
+		prober     *prober.Prober
+		placer     *placer.Placer
+		dispatcher *dispatcher.Dispatcher
+		tracker    *tracker.Tracker
+		router     *router.Router
+		searcher   *searcher.Searcher
+		submitter  *submitter.Submitter
+		entry      *entryserver.Server
+		operator   *operatorserver.Server
+	}
+)
+
+// New assembles a node that does nothing yet.
+func New(c Config) *Node {
+	n := &Node{config: c, metrics: metrics.NewSet()}
+	n.asserter = asserter.New(asserter.Config{Logger: c.Logger, Fatal: c.Settings.GetFatalInvariants()})
+	n.keeper = keeper.New(keeper.Config{Asserter: n.asserter})
+	n.watcher = watcher.New(watcher.Config{Store: c.Store, Keeper: n.keeper, Clock: c.Clock, Logger: c.Logger})
+	n.messenger = messenger.New(messenger.Config{
+		NodeName:      c.Settings.GetNodeName(),
+		Handler:       n,
+		Digest:        n.keeper.Digest,
+		ObserveDigest: func(from string, digest uint64) { n.healer.Observe(from, digest) },
+		Dial:          c.Dial,
+		Logger:        c.Logger,
+	})
+	n.assembleView()
+	n.assembleLeafSide()
+	n.assembleEntrySide()
+	n.assembleOperatorSide()
+	return n
+}
+
+// Run works until the context ends: control loops, then the servers of peers, callers and operators.
+// It returns the first error of a server, or nil after a stop.
+func (n *Node) Run(ctx context.Context) error {
+	// The loops outlast the servers, so that requests in flight can finish during a stop.
+	loopContext, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoops()
+	var loops sync.WaitGroup
+	for _, run := range []func(context.Context){
+		n.watcher.Run, n.healer.Run, n.prober.Run, n.dispatcher.Run, n.tracker.Run,
+	} {
+		loops.Go(func() { run(loopContext) })
+	}
+	err := n.serve(ctx)
+	stopLoops()
+	loops.Wait()
+	n.messenger.Close()
+	return err
+}
+
+// Asserter returns the node's invariants.
+func (n *Node) Asserter() *asserter.Asserter {
+	return n.asserter
+}
+
+// Keeper returns the configuration in force.
+func (n *Node) Keeper() *keeper.Keeper {
+	return n.keeper
+}
+
+// Status describes this node for operators.
+func (n *Node) Status() *pb.GetStatusResponse {
+	return &pb.GetStatusResponse{
+		Code:                pb.ResultCode_RESULT_CODE_OK,
+		NodeName:            n.config.Settings.GetNodeName(),
+		Members:             n.prober.Members(),
+		Leaves:              n.dispatcher.Statuses(),
+		ConfigVersions:      n.keeper.Versions(),
+		ConfigDigest:        n.keeper.Digest(),
+		InvariantViolations: n.asserter.Violations(),
+		PlatformReachable:   n.watcher.Reachable(),
+		InProgress:          n.entry.InProgress(),
+	}
+}
+
+func (n *Node) assembleView() {
+	s := n.config.Settings
+	t := s.GetTimings()
+	n.prober = prober.New(prober.Config{
+		Self: &pb.Member{
+			Name: s.GetNodeName(), AvailabilityZone: s.GetAvailabilityZone(), Region: s.GetRegion(),
+			PeerAddress: s.GetPeerAddress(), CallerAddress: s.GetCallerAddress(),
+			StartedAt: n.config.Clock.Now().UnixNano(), Incarnation: 1,
+		},
+		Messenger: n.messenger, Lister: n.config.Store, Clock: n.config.Clock, Logger: n.config.Logger,
+		ProbePeriod: t.GetProbePeriod().AsDuration(), ProbeTimeout: t.GetProbeTimeout().AsDuration(),
+		SuspicionPeriod: t.GetSuspicionPeriod().AsDuration(), ListPeriod: t.GetListPeriod().AsDuration(),
+		SeedPeers: s.GetSeedPeers(), Load: func() uint32 { return n.entry.InProgress() },
+	})
+	n.healer = healer.New(healer.Config{
+		Messenger: n.messenger, Keeper: n.keeper, View: n.prober, Clock: n.config.Clock,
+	})
+	n.placer = placer.New(placer.Config{View: n.prober, Source: n.keeper})
+}
+
+func (n *Node) assembleLeafSide() {
+	newSender := n.config.NewSender
+	if newSender == nil {
+		newSender = func(l *pb.Leaf) dispatcher.LeafSender {
+			return sender.New(sender.Config{
+				Address: l.GetAddress(), Connections: int(l.GetConnections()),
+				MaxAnswerBytes: int(n.config.Settings.GetCallerLimits().GetMaxLeafAnswerBytes()),
+			})
+		}
+	}
+	n.dispatcher = dispatcher.New(dispatcher.Config{
+		NodeName: n.config.Settings.GetNodeName(), Source: n.keeper, Owners: n.placer, Clock: n.config.Clock,
+		Asserter: n.asserter, Logger: n.config.Logger, NewSender: newSender,
+		StatusPeriod: n.config.Settings.GetTimings().GetLeafStatusPeriod().AsDuration(),
+	})
+}
+
+func (n *Node) assembleEntrySide() {
+	name := n.config.Settings.GetNodeName()
+	t := n.config.Settings.GetTimings()
+	n.tracker = tracker.New(tracker.Config{
+		NodeName: name, Messenger: n.messenger, View: n.prober, Local: n.dispatcher, Clock: n.config.Clock,
+		Period: t.GetLeafStatusPeriod().AsDuration(),
+	})
+	n.router = router.New(router.Config{NodeName: name, Messenger: n.messenger, Dispatcher: n.dispatcher})
+	n.searcher = searcher.New(searcher.Config{
+		Source: n.keeper, Owners: n.placer, Statuses: n.tracker, Router: n.router, Clock: n.config.Clock,
+		Asserter: n.asserter,
+	})
+	n.submitter = submitter.New(submitter.Config{
+		NodeName: name, Source: n.keeper, View: n.prober, Owners: n.placer, Statuses: n.tracker,
+		Router: n.router, Clock: n.config.Clock, Asserter: n.asserter, KeepFor: outcomeKeepFor,
+	})
+	n.entry = entryserver.New(entryserver.Config{
+		Source: n.keeper, Searcher: n.searcher, Submitter: n.submitter,
+		Directory: directory.New(directory.Config{
+			View: n.prober, Source: n.keeper, KeepFor: t.GetEntriesKeepFor().AsDuration(),
+		}),
+		Metrics: n.metrics, Logger: n.config.Logger,
+		MaxRequestBytes: int64(n.config.Settings.GetCallerLimits().GetMaxRequestBytes()),
+	})
+}
+
+func (n *Node) assembleOperatorSide() {
+	n.operator = operatorserver.New(operatorserver.Config{
+		Authorizer: authorizer.New(authorizer.Config{
+			Source: n.keeper, BootstrapHash: n.config.Settings.GetBootstrapCredentialHash(),
+		}),
+		Applier: applier.New(applier.Config{Store: n.config.Store, Keeper: n.keeper, Clock: n.config.Clock}),
+		Store:   n.config.Store, Status: n, Logger: n.config.Logger,
+	})
+}
+
+// serve runs the three servers until the context ends or one of them fails.
+func (n *Node) serve(ctx context.Context) error {
+	peers, err := (&net.ListenConfig{}).Listen(ctx, "tcp", n.config.Settings.GetPeerAddress())
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	callerHandler, err := n.entry.Handler()
+	if err != nil {
+		return err
+	}
+	callers := n.httpServer(n.config.Settings.GetCallerAddress(), callerHandler)
+	operators := n.httpServer(n.config.Settings.GetOperatorAddress(), n.operator.Handler())
+	failures := make(chan error, 3)
+	go func() { failures <- n.messenger.Serve(peers) }()
+	go func() { failures <- errors.Wrap(callers.ListenAndServe(), "serve callers") }()
+	go func() { failures <- errors.Wrap(operators.ListenAndServe(), "serve operators") }()
+	n.config.Logger.Info("node started", "node", n.config.Settings.GetNodeName(),
+		"caller_address", n.config.Settings.GetCallerAddress())
+	select {
+	case err = <-failures:
+	case <-ctx.Done():
+		n.stop(callers, operators)
+	}
+	_ = peers.Close()
+	return err
+}
+
+// stop ends the node gracefully: it leaves the view, finishes the requests in flight and goes.
+func (n *Node) stop(servers ...*http.Server) {
+	deadline := n.config.Settings.GetTimings().GetStopDeadline().AsDuration()
+	n.config.Logger.Info("stop begins", "deadline", deadline)
+	n.prober.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			n.config.Logger.Error("stop cut requests", "error", err.Error())
+		}
+	}
+	n.config.Logger.Info("stop complete", "in_progress", n.entry.InProgress())
+}
+
+func (n *Node) httpServer(address string, h http.Handler) *http.Server {
+	return &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+}
--- /dev/null
+++ b/internal/operator/server/failures.go
@@ -0,0 +1,22 @@
+package server
+
+import (
+	"github.com/cockroachdb/errors"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/platform/client"
+	"github.com/magnoliastep/magnoliastep/internal/result/coder"
+)
+
+// failed returns the outcome of a change that was not tried.
+func failed(changeID string, err error) *pb.ChangeOutcome {
+	return &pb.ChangeOutcome{Code: coder.Of(err), Message: err.Error(), ChangeId: changeID}
+}
+
+// storeError gives the platform's errors their result codes.
+func storeError(err error) error {
+	if errors.Is(err, client.ErrNotFound) {
+		return coder.New(pb.ResultCode_RESULT_CODE_NOT_FOUND, "%v", err)
+	}
+	return coder.New(pb.ResultCode_RESULT_CODE_PLATFORM_UNAVAILABLE, "%v", err)
+}
--- /dev/null
+++ b/internal/operator/server/server.go
@@ -0,0 +1,229 @@
+// Package server is the operators' side: the Connect service of the schema. Each call flows in with a
+// bearer token, is authorized, checked and carried out; outcomes flow out with numbered result codes.
+package server
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"github.com/magnoliastep/magnoliastep/internal/config/keyer"
+	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1/magnoliastepv1connect"
+	"github.com/magnoliastep/magnoliastep/internal/operator/applier"
+	"github.com/magnoliastep/magnoliastep/internal/platform/client"
+	"github.com/magnoliastep/magnoliastep/internal/result/coder"
+)
+
+type (
+	// Authorizer checks operators.
+	Authorizer interface {
+		Authorize(header string, roles ...pb.Role) (string, error)
+	}
+
+	// Applier makes changes.
+	Applier interface {
+		Apply(ctx context.Context, c applier.Change) *pb.ChangeOutcome
+		Find(ctx context.Context, key, changeID string) (*pb.Change, error)
+	}
+
+	// Store reads the platform's objects.
+	Store interface {
+		Get(ctx context.Context, key string) (client.Object, error)
+		List(ctx context.Context, prefix string) (client.Listing, error)
+	}
+
+	// StatusSource describes this node.
+	StatusSource interface {
+		Status() *pb.GetStatusResponse
+	}
+
+	// Config holds what a Server needs.
+	Config struct {
+		Authorizer Authorizer
+		Applier    Applier
+		Store      Store
+		Status     StatusSource
+		Logger     *slog.Logger
+	}
+
+	// Server serves operators. It is safe for concurrent use.
+	Server struct {
+		magnoliastepv1connect.UnimplementedOperatorServiceHandler
+
+		config Config
+	}
+)
+
+// New returns a Server.
+func New(c Config) *Server {
+	return &Server{config: c}
+}
+
+// Handler returns the HTTP handler of the operator service.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	path, handler := magnoliastepv1connect.NewOperatorServiceHandler(s)
+	mux.Handle(path, handler)
+	return mux
+}
+
+// ApplyObject implements the RPC.
+func (s *Server) ApplyObject(
+	ctx context.Context, r *connect.Request[pb.ApplyObjectRequest],
+) (*connect.Response[pb.ApplyObjectResponse], error) {
+	actor, err := s.config.Authorizer.Authorize(r.Header().Get("Authorization"), pb.Role_ROLE_OPERATOR)
+	if err != nil {
+		return connect.NewResponse(&pb.ApplyObjectResponse{Outcome: failed(r.Msg.GetChangeId(), err)}), nil
+	}
+	key := keyer.Of(r.Msg.GetObject())
+	outcome := s.apply(ctx, applier.Change{
+		ID: r.Msg.GetChangeId(), Actor: actor, Reason: r.Msg.GetReason(),
+		ExpectedVersion: r.Msg.GetExpectedVersion(), Object: r.Msg.GetObject(), Summary: "apply " + key,
+	})
+	return connect.NewResponse(&pb.ApplyObjectResponse{Outcome: outcome}), nil
+}
+
+// DeleteObject implements the RPC.
+func (s *Server) DeleteObject(
+	ctx context.Context, r *connect.Request[pb.DeleteObjectRequest],
+) (*connect.Response[pb.DeleteObjectResponse], error) {
+	actor, err := s.config.Authorizer.Authorize(r.Header().Get("Authorization"), pb.Role_ROLE_OPERATOR)
+	if err != nil {
+		return connect.NewResponse(&pb.DeleteObjectResponse{Outcome: failed(r.Msg.GetChangeId(), err)}), nil
+	}
+	object, err := s.read(ctx, r.Msg.GetKey())
+	if err != nil {
+		return connect.NewResponse(&pb.DeleteObjectResponse{Outcome: failed(r.Msg.GetChangeId(), err)}), nil
+	}
+	object.Deleted = true
+	outcome := s.apply(ctx, applier.Change{
+		ID: r.Msg.GetChangeId(), Actor: actor, Reason: r.Msg.GetReason(),
+		ExpectedVersion: r.Msg.GetExpectedVersion(), Object: object, Summary: "delete " + r.Msg.GetKey(),
+	})
+	return connect.NewResponse(&pb.DeleteObjectResponse{Outcome: outcome}), nil
+}
+
+// GetObject implements the RPC.
+func (s *Server) GetObject(
+	ctx context.Context, r *connect.Request[pb.GetObjectRequest],
+) (*connect.Response[pb.GetObjectResponse], error) {
+	if err := s.authorizeReader(r.Header()); err != nil {
+		return connect.NewResponse(&pb.GetObjectResponse{Code: coder.Of(err), Message: err.Error()}), nil
+	}
+	object, err := s.read(ctx, r.Msg.GetKey())
+	if err != nil {
+		return connect.NewResponse(&pb.GetObjectResponse{Code: coder.Of(err), Message: err.Error()}), nil
+	}
+	return connect.NewResponse(&pb.GetObjectResponse{Code: pb.ResultCode_RESULT_CODE_OK, Object: object}), nil
+}
+
+// ListObjects implements the RPC.
+func (s *Server) ListObjects(
+	ctx context.Context, r *connect.Request[pb.ListObjectsRequest],
+) (*connect.Response[pb.ListObjectsResponse], error) {
+	if err := s.authorizeReader(r.Header()); err != nil {
+		return connect.NewResponse(&pb.ListObjectsResponse{Code: coder.Of(err), Message: err.Error()}), nil
+	}
+	objects, err := s.list(ctx, r.Msg.GetKind(), r.Msg.GetIncludeDeleted())
+	if err != nil {
+		return connect.NewResponse(&pb.ListObjectsResponse{Code: coder.Of(err), Message: err.Error()}), nil
+	}
+	return connect.NewResponse(&pb.ListObjectsResponse{Code: pb.ResultCode_RESULT_CODE_OK, Objects: objects}), nil
+}
+
+// GetChange implements the RPC.
+func (s *Server) GetChange(
+	ctx context.Context, r *connect.Request[pb.GetChangeRequest],
+) (*connect.Response[pb.GetChangeResponse], error) {
+	if err := s.authorizeReader(r.Header()); err != nil {
+		return connect.NewResponse(&pb.GetChangeResponse{Code: coder.Of(err), Message: err.Error()}), nil
+	}
+	change, err := s.config.Applier.Find(ctx, r.Msg.GetKey(), r.Msg.GetChangeId())
+	response := &pb.GetChangeResponse{Code: pb.ResultCode_RESULT_CODE_OK, Change: change}
+	switch {
+	case err != nil:
+		response.Code = pb.ResultCode_RESULT_CODE_PLATFORM_UNAVAILABLE
+		response.Message = err.Error()
+	case change == nil:
+		response.Code = pb.ResultCode_RESULT_CODE_NOT_FOUND
+		response.Message = "no such change"
+	}
+	return connect.NewResponse(response), nil
+}
+
+// ListChanges implements the RPC.
+func (s *Server) ListChanges(
+	ctx context.Context, r *connect.Request[pb.ListChangesRequest],
+) (*connect.Response[pb.ListChangesResponse], error) {
+	if err := s.authorizeReader(r.Header()); err != nil {
+		return connect.NewResponse(&pb.ListChangesResponse{Code: coder.Of(err), Message: err.Error()}), nil
+	}
+	objects, err := s.list(ctx, r.Msg.GetKey(), true)
+	if err != nil {
+		return connect.NewResponse(&pb.ListChangesResponse{Code: coder.Of(err), Message: err.Error()}), nil
+	}
+	response := &pb.ListChangesResponse{Code: pb.ResultCode_RESULT_CODE_OK}
+	for _, o := range objects {
+		for _, c := range o.GetChanges() {
+			response.Changes = append(response.Changes, &pb.KeyedChange{Key: keyer.Of(o), Change: c})
+		}
+	}
+	return connect.NewResponse(response), nil
+}
+
+// GetStatus implements the RPC.
+func (s *Server) GetStatus(
+	_ context.Context, r *connect.Request[pb.GetStatusRequest],
+) (*connect.Response[pb.GetStatusResponse], error) {
+	if err := s.authorizeReader(r.Header()); err != nil {
+		return connect.NewResponse(&pb.GetStatusResponse{Code: coder.Of(err)}), nil
+	}
+	return connect.NewResponse(s.config.Status.Status()), nil
+}
+
+func (s *Server) authorizeReader(header http.Header) error {
+	_, err := s.config.Authorizer.Authorize(header.Get("Authorization"),
+		pb.Role_ROLE_OPERATOR, pb.Role_ROLE_DIRECTOR, pb.Role_ROLE_VIEWER)
+	return err
+}
+
+// apply carries a change out and logs it.
+func (s *Server) apply(ctx context.Context, c applier.Change) *pb.ChangeOutcome {
+	if c.ID == "" || keyer.Of(c.Object) == "" {
+		return failed(c.ID, coder.New(pb.ResultCode_RESULT_CODE_INVALID_OBJECT, "change_id and object are required"))
+	}
+	outcome := s.config.Applier.Apply(ctx, c)
+	s.config.Logger.Info("change", "change_id", c.ID, "actor", c.Actor, "summary", c.Summary,
+		"code", int(outcome.GetCode()), "version", outcome.GetVersion())
+	return outcome
+}
+
+func (s *Server) read(ctx context.Context, key string) (*pb.ConfigObject, error) {
+	o, err := s.config.Store.Get(ctx, key)
+	if err != nil {
+		return nil, storeError(err)
+	}
+	return watcher.Decode(o)
+}
+
+func (s *Server) list(ctx context.Context, prefix string, includeDeleted bool) ([]*pb.ConfigObject, error) {
+	listing, err := s.config.Store.List(ctx, prefix)
+	if err != nil {
+		return nil, storeError(err)
+	}
+	var objects []*pb.ConfigObject
+	for _, o := range listing.Objects {
+		decoded, err := watcher.Decode(o)
+		if err != nil {
+			return nil, err
+		}
+		if includeDeleted || !decoded.GetDeleted() {
+			objects = append(objects, decoded)
+		}
+	}
+	return objects, nil
+}
--- /dev/null
+++ b/internal/peer/messenger/messenger.go
@@ -0,0 +1,290 @@
+// Package messenger carries frames between nodes: length-delimited protobuf over two long-lived yamux
+// streams for each peer, one for data and one for control, so that no large answer delays a probe.
+// Calls are matched to replies by id; a reply that matches no open call is counted and dropped.
+//
+// A call that cannot be written at all fails with ErrNotSent: the peer cannot have acted on it. A call
+// whose peer was lost after the frame was queued fails with ErrPeerLost: its outcome is unknown.
+package messenger
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+)
+
+const (
+	dialTimeout       = time.Second
+	redialPause       = 100 * time.Millisecond
+	streamWindowBytes = 1 << 20  // 1 MiB
+	maxFrameBytes     = 16 << 20 // 16 MiB
+	writeQueueFrames  = 4096
+	handlerLimit      = 4096
+)
+
+const (
+	// PlaneData carries queries and answers.
+	PlaneData Plane = 1
+	// PlaneControl carries probes and configuration.
+	PlaneControl Plane = 2
+)
+
+var (
+	// ErrNotSent says that the peer cannot have received the frame.
+	ErrNotSent = errors.New("peer: not sent")
+	// ErrPeerLost says that the peer was lost before it replied.
+	ErrPeerLost = errors.New("peer: lost before the reply")
+)
+
+type (
+	// Plane selects the stream that carries a frame.
+	Plane byte
+
+	// Handler receives the frames that are not replies. It is called on a goroutine of its own for
+	// each frame; reply may be called any number of times and from any goroutine.
+	Handler interface {
+		HandleFrame(ctx context.Context, frame *pb.Frame, reply func(*pb.Frame))
+	}
+
+	// Config holds what a Messenger needs.
+	Config struct {
+		NodeName string
+		Handler  Handler
+		// Digest returns the digest of the configuration in force; it is put on every frame.
+		Digest func() uint64
+		// ObserveDigest is told the digest on every frame received. It must not block.
+		ObserveDigest func(from string, digest uint64)
+		// Dial connects to a peer address; nil means TCP.
+		Dial   func(ctx context.Context, address string) (net.Conn, error)
+		Logger *slog.Logger
+	}
+
+	// Messenger holds the links to all peers. It is safe for concurrent use.
+	Messenger struct {
+		config Config
+		lastID atomic.Uint64
+		// unmatched counts replies that matched no open call.
+		unmatched atomic.Uint64
+		sentBytes atomic.Uint64
+		mutex     sync.Mutex
+		// links has at most one link for each address.
+		links map[string]*link
+		// accepted has the sessions that peers opened.
+		accepted map[*yamux.Session]struct{}
+		closed   bool
+	}
+
+	// Deliver receives the reply to a call, or the error that ended it.
+	Deliver func(id uint64, reply *pb.Frame, err error)
+)
+
+// New returns a Messenger without links.
+func New(c Config) *Messenger {
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
+	return &Messenger{
+		config:   c,
+		links:    map[string]*link{},
+		accepted: map[*yamux.Session]struct{}{},
+	}
+}
+
+// NextID returns an id for a call that no other call of this process has.
+func (m *Messenger) NextID() uint64 {
+	return m.lastID.Add(1)
+}
+
+// Unmatched returns how many replies matched no open call.
+func (m *Messenger) Unmatched() uint64 {
+	return m.unmatched.Load()
+}
+
+// SentBytes returns how many bytes of frames were written to peers.
+func (m *Messenger) SentBytes() uint64 {
+	return m.sentBytes.Load()
+}
+
+// Call sends a frame and waits for its one reply.
+func (m *Messenger) Call(ctx context.Context, address string, plane Plane, frame *pb.Frame) (*pb.Frame, error) {
+	type outcome struct {
+		reply *pb.Frame
+		err   error
+	}
+	outcomes := make(chan outcome, 1)
+	frame.Id = m.NextID()
+	deliver := func(_ uint64, reply *pb.Frame, err error) { outcomes <- outcome{reply, err} }
+	if err := m.Open(ctx, address, plane, frame, []uint64{frame.GetId()}, deliver); err != nil {
+		return nil, err
+	}
+	select {
+	case o := <-outcomes:
+		return o.reply, o.err
+	case <-ctx.Done():
+		m.Forget(address, frame.GetId())
+		return nil, errors.CombineErrors(ErrPeerLost, ctx.Err())
+	}
+}
+
+// Open sends a frame that is answered by one reply for each id. Each id is delivered exactly once
+// unless it is forgotten. An error means that nothing was sent and nothing will be delivered.
+func (m *Messenger) Open(
+	ctx context.Context, address string, plane Plane, frame *pb.Frame, ids []uint64, deliver Deliver,
+) error {
+	l, err := m.link(ctx, address)
+	if err != nil {
+		return err
+	}
+	l.expect(ids, deliver)
+	if err := l.write(plane, m.stamp(frame)); err != nil {
+		l.forget(ids)
+		return err
+	}
+	return nil
+}
+
+// Send sends a frame that has no reply.
+func (m *Messenger) Send(ctx context.Context, address string, plane Plane, frame *pb.Frame) error {
+	l, err := m.link(ctx, address)
+	if err != nil {
+		return err
+	}
+	return l.write(plane, m.stamp(frame))
+}
+
+// Forget drops the open calls; later replies to them are counted as unmatched.
+func (m *Messenger) Forget(address string, ids ...uint64) {
+	m.mutex.Lock()
+	l := m.links[address]
+	m.mutex.Unlock()
+	if l != nil {
+		l.forget(ids)
+	}
+}
+
+// Serve accepts peers until the listener is closed.
+func (m *Messenger) Serve(listener net.Listener) error {
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			return errors.Wrap(err, "accept peer")
+		}
+		go m.serveConnection(connection)
+	}
+}
+
+// Close ends all links.
+func (m *Messenger) Close() {
+	m.mutex.Lock()
+	m.closed = true
+	links := m.links
+	m.links = map[string]*link{}
+	sessions := m.accepted
+	m.accepted = map[*yamux.Session]struct{}{}
+	m.mutex.Unlock()
+	for _, l := range links {
+		l.close()
+	}
+	for s := range sessions {
+		_ = s.Close()
+	}
+}
+
+func (m *Messenger) stamp(frame *pb.Frame) *pb.Frame {
+	frame.From = m.config.NodeName
+	frame.ConfigDigest = m.config.Digest()
+	return frame
+}
+
+// link returns the live link to the address, connecting first when there is none.
+func (m *Messenger) link(ctx context.Context, address string) (*link, error) {
+	m.mutex.Lock()
+	if m.closed {
+		m.mutex.Unlock()
+		return nil, errors.Wrap(ErrNotSent, "messenger is closed")
+	}
+	l := m.links[address]
+	if l == nil || l.ended() {
+		l = newLink(m, address)
+		m.links[address] = l
+		go l.connect()
+	}
+	m.mutex.Unlock()
+	return l, l.wait(ctx)
+}
+
+func (m *Messenger) serveConnection(connection net.Conn) {
+	session, err := yamux.Server(connection, sessionConfig())
+	if err != nil {
+		_ = connection.Close()
+		return
+	}
+	if !m.addSession(session) {
+		return
+	}
+	defer m.removeSession(session)
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		go m.serveStream(stream)
+	}
+}
+
+func (m *Messenger) addSession(session *yamux.Session) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.closed {
+		_ = session.Close()
+		return false
+	}
+	m.accepted[session] = struct{}{}
+	return true
+}
+
+func (m *Messenger) removeSession(session *yamux.Session) {
+	m.mutex.Lock()
+	delete(m.accepted, session)
+	m.mutex.Unlock()
+	_ = session.Close()
+}
+
+// serveStream handles the frames of one stream that a peer opened. The context of its handlers ends
+// with the stream, so that work for a lost peer is cancelled.
+func (m *Messenger) serveStream(stream net.Conn) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w := newWriter(stream, &m.sentBytes)
+	defer w.close()
+	reply := func(f *pb.Frame) { _ = w.enqueueWait(m.stamp(f)) }
+	handlers := make(chan struct{}, handlerLimit)
+	readFrames(stream, func(f *pb.Frame) {
+		m.config.ObserveDigest(f.GetFrom(), f.GetConfigDigest())
+		handlers <- struct{}{}
+		go func() {
+			defer func() { <-handlers }()
+			m.config.Handler.HandleFrame(ctx, f, reply)
+		}()
+	})
+}
+
+func sessionConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.MaxStreamWindowSize = streamWindowBytes
+	c.LogOutput = nil
+	c.Logger = discardLogger{}
+	return c
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
--- /dev/null
+++ b/internal/peer/messenger/writer.go
@@ -0,0 +1,112 @@
+package messenger
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+)
+
+const (
+	streamBufferBytes = 64 << 10 // 64 KiB
+)
+
+type (
+	// writer writes queued frames to one stream and flushes when the queue is empty, so that frames
+	// which are ready together leave in one packet.
+	writer struct {
+		stream    net.Conn
+		queue     chan *pb.Frame
+		done      chan struct{}
+		closeOnce sync.Once
+		sentBytes *atomic.Uint64
+	}
+)
+
+func newWriter(stream net.Conn, sentBytes *atomic.Uint64) *writer {
+	w := &writer{
+		stream:    stream,
+		queue:     make(chan *pb.Frame, writeQueueFrames),
+		done:      make(chan struct{}),
+		sentBytes: sentBytes,
+	}
+	go w.run()
+	return w
+}
+
+// enqueue queues the frame, or returns false when the queue is full.
+func (w *writer) enqueue(f *pb.Frame) bool {
+	select {
+	case w.queue <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// enqueueWait queues the frame and waits for room until the writer is closed.
+func (w *writer) enqueueWait(f *pb.Frame) error {
+	select {
+	case w.queue <- f:
+		return nil
+	case <-w.done:
+		return errors.Wrap(ErrNotSent, "stream is closed")
+	}
+}
+
+func (w *writer) run() {
+	defer w.close()
+	buffer := bufio.NewWriterSize(w.stream, streamBufferBytes)
+	for {
+		select {
+		case <-w.done:
+			return
+		case f := <-w.queue:
+			if w.writeReady(buffer, f) != nil {
+				return
+			}
+		}
+	}
+}
+
+// writeReady writes the frame and all that are queued behind it, then flushes.
+func (w *writer) writeReady(buffer *bufio.Writer, f *pb.Frame) error {
+	for {
+		n, err := protodelim.MarshalTo(buffer, f)
+		if err != nil {
+			return errors.Wrap(err, "write frame")
+		}
+		w.sentBytes.Add(uint64(n))
+		select {
+		case f = <-w.queue:
+		default:
+			return errors.Wrap(buffer.Flush(), "flush frames")
+		}
+	}
+}
+
+func (w *writer) close() {
+	w.closeOnce.Do(func() {
+		close(w.done)
+		_ = w.stream.Close()
+	})
+}
+
+// readFrames passes each frame of the stream to receive until the stream ends or is malformed.
+func readFrames(stream io.Reader, receive func(*pb.Frame)) {
+	reader := bufio.NewReaderSize(stream, streamBufferBytes)
+	options := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
+	for {
+		f := &pb.Frame{}
+		if options.UnmarshalFrom(reader, f) != nil {
+			return
+		}
+		receive(f)
+	}
+}
--- /dev/null
+++ b/internal/peer/router/router.go
@@ -0,0 +1,123 @@
+// Package router takes a batch of leaf calls to the node that owns the leaves: straight to the local
+// dispatcher when that is this node, over the peer link otherwise. The entry side does not see the
+// difference.
+package router
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
+)
+
+type (
+	// Messenger carries frames to other nodes.
+	Messenger interface {
+		NextID() uint64
+		Open(ctx context.Context, address string, plane messenger.Plane, frame *pb.Frame,
+			ids []uint64, deliver messenger.Deliver) error
+		Send(ctx context.Context, address string, plane messenger.Plane, frame *pb.Frame) error
+		Call(ctx context.Context, address string, plane messenger.Plane, frame *pb.Frame) (*pb.Frame, error)
+		Forget(address string, ids ...uint64)
+	}
+
+	// LocalDispatcher runs the calls to leaves that this node owns.
+	LocalDispatcher interface {
+		StartBatch(ctx context.Context, origin string, b *pb.LeafBatch, done func(*pb.LeafReply))
+		Cancel(origin string, ids []uint64)
+		Submit(ctx context.Context, c *pb.SubmitCall) *pb.SubmitReply
+	}
+
+	// Config holds what a Router needs.
+	Config struct {
+		NodeName   string
+		Messenger  Messenger
+		Dispatcher LocalDispatcher
+	}
+
+	// Router reaches the owners of leaves. It is safe for concurrent use.
+	Router struct {
+		config Config
+	}
+)
+
+// New returns a Router.
+func New(c Config) *Router {
+	return &Router{config: c}
+}
+
+// NextCallID returns an id for a leaf call that no other call of this process has.
+func (r *Router) NextCallID() uint64 {
+	return r.config.Messenger.NextID()
+}
+
+// StartBatch sends the calls to their owner. deliver is called at most once for each call; a call whose
+// owner was lost is delivered with the code OWNER_UNREACHABLE.
+func (r *Router) StartBatch(ctx context.Context, owner *pb.Member, b *pb.LeafBatch, deliver func(*pb.LeafReply)) {
+	if owner.GetName() == r.config.NodeName {
+		r.config.Dispatcher.StartBatch(ctx, r.config.NodeName, b, deliver)
+		return
+	}
+	partitions := make(map[uint64]uint32, len(b.GetCalls()))
+	ids := make([]uint64, 0, len(b.GetCalls()))
+	for _, c := range b.GetCalls() {
+		partitions[c.GetCallId()] = c.GetPartition()
+		ids = append(ids, c.GetCallId())
+	}
+	receive := func(id uint64, reply *pb.Frame, err error) {
+		if err != nil || reply.GetLeafReply() == nil {
+			deliver(unreachable(b, id, partitions[id]))
+			return
+		}
+		deliver(reply.GetLeafReply())
+	}
+	frame := &pb.Frame{Body: &pb.Frame_LeafBatch{LeafBatch: b}}
+	err := r.config.Messenger.Open(ctx, owner.GetPeerAddress(), messenger.PlaneData, frame, ids, receive)
+	if err == nil {
+		return
+	}
+	for _, id := range ids {
+		deliver(unreachable(b, id, partitions[id]))
+	}
+}
+
+// Cancel tells the owner that the replies are no longer wanted.
+func (r *Router) Cancel(ctx context.Context, owner *pb.Member, ids []uint64) {
+	if owner.GetName() == r.config.NodeName {
+		r.config.Dispatcher.Cancel(r.config.NodeName, ids)
+		return
+	}
+	r.config.Messenger.Forget(owner.GetPeerAddress(), ids...)
+	frame := &pb.Frame{Body: &pb.Frame_CancelCalls{CancelCalls: &pb.CancelCalls{CallIds: ids}}}
+	_ = r.config.Messenger.Send(ctx, owner.GetPeerAddress(), messenger.PlaneData, frame)
+}
+
+// Submit sends a non-idempotent call to the owner of its leaf and waits for the outcome.
+func (r *Router) Submit(ctx context.Context, owner *pb.Member, c *pb.SubmitCall) (*pb.SubmitReply, error) {
+	if owner.GetName() == r.config.NodeName {
+		return r.config.Dispatcher.Submit(ctx, c), nil
+	}
+	frame := &pb.Frame{Body: &pb.Frame_SubmitCall{SubmitCall: c}}
+	reply, err := r.config.Messenger.Call(ctx, owner.GetPeerAddress(), messenger.PlaneData, frame)
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetSubmitReply(), nil
+}
+
+// TimeLeft returns the duration as the schema carries it, never negative.
+func TimeLeft(d time.Duration) *durationpb.Duration {
+	return durationpb.New(max(0, d))
+}
+
+func unreachable(b *pb.LeafBatch, id uint64, partition uint32) *pb.LeafReply {
+	return &pb.LeafReply{
+		CallId:    id,
+		Code:      pb.ResultCode_RESULT_CODE_OWNER_UNREACHABLE,
+		Partition: partition,
+		RequestId: b.GetRequestId(),
+	}
+}
--- /dev/null
+++ b/internal/stand/storer/storer.go
@@ -0,0 +1,334 @@
+// Package storer is a small stand-in for the platform: versioned objects with conditional updates and
+// watches, and a lagging list of VMs. It keeps everything in memory. Its behaviour is switched over a
+// second handler, the control port.
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/coder/quartz"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/platform/client"
+)
+
+const (
+	maxValueBytes   = 1 << 20 // 1 MiB
+	maxControlBytes = 8 << 20 // 8 MiB
+	maxWatchWait    = time.Minute
+)
+
+type (
+	// Config holds what a Storer needs.
+	Config struct {
+		Clock quartz.Clock
+		// Seed makes the losses of answers repeatable.
+		Seed uint64
+	}
+
+	// Storer is the stand-in platform. It is safe for concurrent use.
+	Storer struct {
+		clock quartz.Clock
+		mutex sync.Mutex
+		// objects has the newest version of each key; versions are revisions of the whole store.
+		objects  map[string]client.Object
+		revision int64
+		// changed is closed and replaced at each change.
+		changed   chan struct{}
+		behaviour *pb.PlatformBehaviour
+		random    *rand.Rand
+		counters  *pb.PlatformCounters
+		// lists has the VM lists by age, newest last.
+		lists []datedList
+	}
+
+	datedList struct {
+		setAt time.Time
+		vms   []*pb.PlatformVM
+	}
+)
+
+// New returns an empty Storer.
+func New(c Config) *Storer {
+	return &Storer{
+		clock:     c.Clock,
+		objects:   map[string]client.Object{},
+		changed:   make(chan struct{}),
+		behaviour: &pb.PlatformBehaviour{},
+		random:    rand.New(rand.NewPCG(c.Seed, c.Seed)), //nolint:gosec // repeatable faults
+		counters:  &pb.PlatformCounters{},
+	}
+}
+
+// Handler returns the object API.
+func (s *Storer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/objects", s.list)
+	mux.HandleFunc("GET /v1/objects/{key...}", s.get)
+	mux.HandleFunc("PUT /v1/objects/{key...}", s.put)
+	mux.HandleFunc("DELETE /v1/objects/{key...}", s.remove)
+	mux.HandleFunc("GET /v1/watch", s.watch)
+	mux.HandleFunc("GET /v1/vms", s.vms)
+	return s.behave(mux)
+}
+
+// ControlHandler returns the control port.
+func (s *Storer) ControlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /behaviour", s.setBehaviour)
+	mux.HandleFunc("POST /vms", s.setVMs)
+	mux.HandleFunc("GET /counters", s.getCounters)
+	return mux
+}
+
+// behave delays and fails calls as the behaviour says.
+func (s *Storer) behave(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b := s.currentBehaviour()
+		if d := b.GetDelay().AsDuration(); d > 0 {
+			s.sleep(r.Context(), d)
+		}
+		if b.GetOutage() {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Storer) currentBehaviour() *pb.PlatformBehaviour {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.behaviour
+}
+
+func (s *Storer) get(w http.ResponseWriter, r *http.Request) {
+	s.mutex.Lock()
+	s.counters.Reads++
+	o, ok := s.objects[r.PathValue("key")]
+	s.mutex.Unlock()
+	if !ok {
+		http.Error(w, "not found", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Etag", quote(o.Version))
+	_, _ = w.Write(o.Value)
+}
+
+func (s *Storer) list(w http.ResponseWriter, r *http.Request) {
+	prefix := r.URL.Query().Get("prefix")
+	s.mutex.Lock()
+	s.counters.Lists++
+	listing := s.collectLocked(func(o client.Object) bool { return strings.HasPrefix(o.Key, prefix) })
+	s.mutex.Unlock()
+	writeJSON(w, listing)
+}
+
+func (s *Storer) put(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(io.LimitReader(r.Body, maxValueBytes+1))
+	if err != nil || len(value) > maxValueBytes || !json.Valid(value) {
+		http.Error(w, "value is too large or no JSON", http.StatusBadRequest)
+		return
+	}
+	version, ok := s.store(r, value)
+	switch {
+	case !ok:
+		http.Error(w, "version conflict", http.StatusPreconditionFailed)
+	case s.loses():
+		panic(http.ErrAbortHandler) // the write took effect and its answer is lost
+	default:
+		w.Header().Set("Etag", quote(version))
+	}
+}
+
+func (s *Storer) remove(w http.ResponseWriter, r *http.Request) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counters.Writes++
+	key := r.PathValue("key")
+	if !s.matchesLocked(r, key) {
+		http.Error(w, "version conflict", http.StatusPreconditionFailed)
+		return
+	}
+	delete(s.objects, key)
+	s.changedLocked()
+}
+
+// store makes the conditional update.
+func (s *Storer) store(r *http.Request, value []byte) (int64, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counters.Writes++
+	key := r.PathValue("key")
+	if !s.matchesLocked(r, key) {
+		return 0, false
+	}
+	s.changedLocked()
+	s.objects[key] = client.Object{Key: key, Version: s.revision, Value: value}
+	return s.revision, true
+}
+
+func (s *Storer) matchesLocked(r *http.Request, key string) bool {
+	o, exists := s.objects[key]
+	if r.Header.Get("If-None-Match") == "*" {
+		return !exists
+	}
+	return exists && r.Header.Get("If-Match") == quote(o.Version)
+}
+
+func (s *Storer) changedLocked() {
+	s.revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Storer) loses() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.random.Float64() < s.behaviour.GetLoseAnswerShare()
+}
+
+func (s *Storer) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	milliseconds, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	timer := s.clock.NewTimer(min(maxWatchWait, time.Duration(milliseconds)*time.Millisecond))
+	defer timer.Stop()
+	s.mutex.Lock()
+	s.counters.Watches++
+	s.mutex.Unlock()
+	for {
+		s.mutex.Lock()
+		listing := s.collectLocked(func(o client.Object) bool { return o.Version > after })
+		changed := s.changed
+		outage := s.behaviour.GetOutage()
+		s.mutex.Unlock()
+		if outage {
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
+		if listing.Revision > after {
+			writeJSON(w, listing)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			writeJSON(w, listing)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Storer) vms(w http.ResponseWriter, _ *http.Request) {
+	s.mutex.Lock()
+	s.counters.VmLists++
+	list := s.listLocked()
+	s.mutex.Unlock()
+	rows := make([]client.VM, 0, len(list))
+	for _, v := range list {
+		rows = append(rows, client.VM{
+			Name: v.GetName(), IP: v.GetIp(), AvailabilityZone: v.GetAvailabilityZone(), State: v.GetState(),
+		})
+	}
+	writeJSON(w, map[string]any{"vms": rows})
+}
+
+// listLocked returns the newest list that is at least as old as the lag, or else the oldest.
+func (s *Storer) listLocked() []*pb.PlatformVM {
+	if s.behaviour.GetListEmpty() || len(s.lists) == 0 {
+		return nil
+	}
+	now := s.clock.Now()
+	lag := s.behaviour.GetListLag().AsDuration()
+	for i := len(s.lists) - 1; i >= 0; i-- {
+		if now.Sub(s.lists[i].setAt) >= lag {
+			return s.lists[i].vms
+		}
+	}
+	return s.lists[0].vms
+}
+
+func (s *Storer) collectLocked(wanted func(o client.Object) bool) client.Listing {
+	listing := client.Listing{Objects: []client.Object{}, Revision: s.revision}
+	for _, o := range s.objects {
+		if wanted(o) {
+			listing.Objects = append(listing.Objects, o)
+		}
+	}
+	sort.Slice(listing.Objects, func(i, j int) bool { return listing.Objects[i].Version < listing.Objects[j].Version })
+	return listing
+}
+
+func (s *Storer) setBehaviour(w http.ResponseWriter, r *http.Request) {
+	b := &pb.PlatformBehaviour{}
+	if !readControl(w, r, b) {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.behaviour = b
+	close(s.changed) // waiting watches see an outage at once
+	s.changed = make(chan struct{})
+}
+
+func (s *Storer) setVMs(w http.ResponseWriter, r *http.Request) {
+	list := &pb.PlatformVMList{}
+	if !readControl(w, r, list) {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lists = append(s.lists, datedList{setAt: s.clock.Now(), vms: list.GetVms()})
+}
+
+func (s *Storer) getCounters(w http.ResponseWriter, _ *http.Request) {
+	s.mutex.Lock()
+	counters := proto.CloneOf(s.counters)
+	s.mutex.Unlock()
+	body, _ := protojson.MarshalOptions{UseProtoNames: true}.Marshal(counters)
+	_, _ = w.Write(body)
+}
+
+func (s *Storer) sleep(ctx context.Context, d time.Duration) {
+	timer := s.clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func readControl(w http.ResponseWriter, r *http.Request, m proto.Message) bool {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxControlBytes))
+	if err == nil {
+		err = protojson.Unmarshal(body, m)
+	}
+	if err != nil {
+		http.Error(w, fmt.Sprintf("control message: %v", err), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func quote(version int64) string {
+	return `"` + strconv.FormatInt(version, 10) + `"`
+}
--- /dev/null
+++ b/internal/view/placer/placer.go
@@ -0,0 +1,109 @@
+// Package placer tells which node owns a leaf. The live view and the configuration flow in, the owner
+// of each leaf flows out; it is computed by rendezvous hashing and never stored. Results are cached
+// until the view or the configuration changes.
+package placer
+
+import (
+	"sync"
+
+	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
+)
+
+type (
+	// View is the part of the membership that placement needs.
+	View interface {
+		// Members returns the nodes that may own leaves, this one included.
+		Members() []*pb.Member
+		// Generation changes whenever Members changes.
+		Generation() uint64
+	}
+
+	// ConfigSource returns the configuration in force.
+	ConfigSource interface {
+		Index() *indexer.Index
+	}
+
+	// Config holds what a Placer needs.
+	Config struct {
+		View   View
+		Source ConfigSource
+	}
+
+	// Placer computes the owners of leaves. It is safe for concurrent use.
+	Placer struct {
+		view   View
+		source ConfigSource
+		mutex  sync.Mutex
+		// ranked is valid for generation and index only.
+		ranked map[string][]*pb.Member
+		// eligible has the members whose availability zone is in service, or all when none is.
+		eligible   []*pb.Member
+		generation uint64
+		index      *indexer.Index
+	}
+)
+
+// New returns a Placer.
+func New(c Config) *Placer {
+	return &Placer{view: c.View, source: c.Source, ranked: map[string][]*pb.Member{}}
+}
+
+// Owner returns the node that owns the leaf, or nil when the leaf or every node is unknown.
+func (p *Placer) Owner(leaf string) *pb.Member {
+	ranked := p.Ranked(leaf)
+	if len(ranked) == 0 {
+		return nil
+	}
+	return ranked[0]
+}
+
+// Ranked returns all nodes in the order in which they would own the leaf. The slice is shared and must
+// not be changed.
+func (p *Placer) Ranked(leaf string) []*pb.Member {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.refresh()
+	if ranked, ok := p.ranked[leaf]; ok {
+		return ranked
+	}
+	entry, ok := p.index.Leaf(leaf)
+	if !ok {
+		return nil
+	}
+	ranked := ranker.Rank(p.key(entry), p.eligible)
+	p.ranked[leaf] = ranked
+	return ranked
+}
+
+func (p *Placer) key(l indexer.LeafEntry) ranker.Key {
+	zone := l.Leaf.GetAvailabilityZone()
+	return ranker.Key{Name: l.Leaf.GetName(), AvailabilityZone: zone, Region: p.index.Zone(zone).GetRegion()}
+}
+
+func (p *Placer) refresh() {
+	generation := p.view.Generation()
+	index := p.source.Index()
+	if generation == p.generation && index == p.index {
+		return
+	}
+	p.generation = generation
+	p.index = index
+	p.ranked = map[string][]*pb.Member{}
+	p.eligible = eligible(index, p.view.Members())
+}
+
+// eligible leaves out the nodes of zones that operators have taken out of service.
+func eligible(index *indexer.Index, members []*pb.Member) []*pb.Member {
+	inService := make([]*pb.Member, 0, len(members))
+	for _, m := range members {
+		if !index.Zone(m.GetAvailabilityZone()).GetOutOfService() {
+			inService = append(inService, m)
+		}
+	}
+	if len(inService) == 0 {
+		return members
+	}
+	return inService
+}
