--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -18,16 +18,12 @@
 	"github.com/magnoliastep/magnoliastep/internal/config/healer"
 	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
 	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
-	"github.com/magnoliastep/magnoliastep/internal/entry/directory"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
 	"github.com/magnoliastep/magnoliastep/internal/entry/tracker"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/dispatcher"
-	"github.com/magnoliastep/magnoliastep/internal/leaf/sender"
-	"github.com/magnoliastep/magnoliastep/internal/operator/applier"
-	"github.com/magnoliastep/magnoliastep/internal/operator/authorizer"
 	operatorserver "github.com/magnoliastep/magnoliastep/internal/operator/server"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/peer/router"
@@ -151,79 +147,6 @@
 	}
 }
 
-func (n *Node) assembleView() {
-	s := n.config.Settings
-	t := s.GetTimings()
-	n.prober = prober.New(prober.Config{
-		Self: &pb.Member{
-			Name: s.GetNodeName(), AvailabilityZone: s.GetAvailabilityZone(), Region: s.GetRegion(),
-			PeerAddress: s.GetPeerAddress(), CallerAddress: s.GetCallerAddress(),
-			StartedAt: n.config.Clock.Now().UnixNano(), Incarnation: 1,
-		},
-		Messenger: n.messenger, Lister: n.config.Store, Clock: n.config.Clock, Logger: n.config.Logger,
-		ProbePeriod: t.GetProbePeriod().AsDuration(), ProbeTimeout: t.GetProbeTimeout().AsDuration(),
-		SuspicionPeriod: t.GetSuspicionPeriod().AsDuration(), ListPeriod: t.GetListPeriod().AsDuration(),
-		SeedPeers: s.GetSeedPeers(), Load: func() uint32 { return n.entry.InProgress() },
-	})
-	n.healer = healer.New(healer.Config{
-		Messenger: n.messenger, Keeper: n.keeper, View: n.prober, Clock: n.config.Clock,
-	})
-	n.placer = placer.New(placer.Config{View: n.prober, Source: n.keeper})
-}
-
-func (n *Node) assembleLeafSide() {
-	newSender := n.config.NewSender
-	if newSender == nil {
-		newSender = func(l *pb.Leaf) dispatcher.LeafSender {
-			return sender.New(sender.Config{
-				Address: l.GetAddress(), Connections: int(l.GetConnections()),
-				MaxAnswerBytes: int(n.config.Settings.GetCallerLimits().GetMaxLeafAnswerBytes()),
-			})
-		}
-	}
-	n.dispatcher = dispatcher.New(dispatcher.Config{
-		NodeName: n.config.Settings.GetNodeName(), Source: n.keeper, Owners: n.placer, Clock: n.config.Clock,
-		Asserter: n.asserter, Logger: n.config.Logger, NewSender: newSender,
-		StatusPeriod: n.config.Settings.GetTimings().GetLeafStatusPeriod().AsDuration(),
-	})
-}
-
-func (n *Node) assembleEntrySide() {
-	name := n.config.Settings.GetNodeName()
-	t := n.config.Settings.GetTimings()
-	n.tracker = tracker.New(tracker.Config{
-		NodeName: name, Messenger: n.messenger, View: n.prober, Local: n.dispatcher, Clock: n.config.Clock,
-		Period: t.GetLeafStatusPeriod().AsDuration(),
-	})
-	n.router = router.New(router.Config{NodeName: name, Messenger: n.messenger, Dispatcher: n.dispatcher})
-	n.searcher = searcher.New(searcher.Config{
-		Source: n.keeper, Owners: n.placer, Statuses: n.tracker, Router: n.router, Clock: n.config.Clock,
-		Asserter: n.asserter,
-	})
-	n.submitter = submitter.New(submitter.Config{
-		NodeName: name, Source: n.keeper, View: n.prober, Owners: n.placer, Statuses: n.tracker,
-		Router: n.router, Clock: n.config.Clock, Asserter: n.asserter, KeepFor: outcomeKeepFor,
-	})
-	n.entry = entryserver.New(entryserver.Config{
-		Source: n.keeper, Searcher: n.searcher, Submitter: n.submitter,
-		Directory: directory.New(directory.Config{
-			View: n.prober, Source: n.keeper, KeepFor: t.GetEntriesKeepFor().AsDuration(),
-		}),
-		Metrics: n.metrics, Logger: n.config.Logger,
-		MaxRequestBytes: int64(n.config.Settings.GetCallerLimits().GetMaxRequestBytes()),
-	})
-}
-
-func (n *Node) assembleOperatorSide() {
-	n.operator = operatorserver.New(operatorserver.Config{
-		Authorizer: authorizer.New(authorizer.Config{
-			Source: n.keeper, BootstrapHash: n.config.Settings.GetBootstrapCredentialHash(),
-		}),
-		Applier: applier.New(applier.Config{Store: n.config.Store, Keeper: n.keeper, Clock: n.config.Clock}),
-		Store:   n.config.Store, Status: n, Logger: n.config.Logger,
-	})
-}
-
 // serve runs the three servers until the context ends or one of them fails.
 func (n *Node) serve(ctx context.Context) error {
 	peers, err := (&net.ListenConfig{}).Listen(ctx, "tcp", n.config.Settings.GetPeerAddress())
--- /dev/null
+++ b/internal/node/assembler/operatorside.go
@@ -0,0 +1,18 @@
+package assembler
+
+import (
+	"github.com/magnoliastep/magnoliastep/internal/operator/applier"
+	"github.com/magnoliastep/magnoliastep/internal/operator/authorizer"
+	operatorserver "github.com/magnoliastep/magnoliastep/internal/operator/server"
+)
+
+// assembleOperatorSide builds what serves operators.
+func (n *Node) assembleOperatorSide() {
+	n.operator = operatorserver.New(operatorserver.Config{
+		Authorizer: authorizer.New(authorizer.Config{
+			Source: n.keeper, BootstrapHash: n.config.Settings.GetBootstrapCredentialHash(),
+		}),
+		Applier: applier.New(applier.Config{Store: n.config.Store, Keeper: n.keeper, Clock: n.config.Clock}),
+		Store:   n.config.Store, Status: n, Logger: n.config.Logger,
+	})
+}
--- a/internal/operator/authorizer/authorizer.go
+++ b/internal/operator/authorizer/authorizer.go
@@ -63,7 +63,8 @@
 			return o.GetName(), nil
 		}
 	}
-	return "", coder.New(pb.ResultCode_RESULT_CODE_ROLE_MISSING, "operator %q has none of the roles %v", o.GetName(), roles)
+	return "", coder.New(pb.ResultCode_RESULT_CODE_ROLE_MISSING,
+		"operator %q has none of the roles %v", o.GetName(), roles)
 }
 
 func (a *Authorizer) isBootstrap(token string) bool {
