Limit each leaf by its own latency and rank leaves in one pass

Cause: the limit knew only plus one and times 0.7, left the cold slots on the first success, so that a leaf still cold failed one call in each round, and ignored declared connections and latency. The placer sorted all nodes for each leaf.

Change: the limiter leaves the cold slots after a number of successes that doubles with each failed try, lowers on a median latency above twice the baseline, and returns to the cold slots on a refused connection, two failures in eight, three timeouts in a row or a latency cliff. The ranker hashes each node once for a view and keeps the first three.

Ruled out: a mean in place of the median for the latency; a few stragglers at ten times the latency double it.

--- a/internal/leaf/dispatcher/lane.go
+++ b/internal/leaf/dispatcher/lane.go
@@ -55,11 +55,13 @@
 		leaf:       entry.Leaf,
 		sender:     d.config.NewSender(entry.Leaf),
 		self:       &pb.LeafSelf{},
-		limiter: limiter.New(limiter.Config{
-			Slots:     int(entry.Leaf.GetSlots()),
-			ColdSlots: int(entry.Leaf.GetColdSlots()),
-			Asserter:  d.config.Asserter,
-		}),
+		limiter:    limiter.New(limiter.Config{Bounds: boundsOf(entry.Leaf), Asserter: d.config.Asserter}),
+	}
+}
+
+func boundsOf(l *pb.Leaf) limiter.Bounds {
+	return limiter.Bounds{
+		Slots: int(l.GetSlots()), Connections: int(l.GetConnections()), ColdSlots: int(l.GetColdSlots()),
 	}
 }
 
@@ -182,7 +184,7 @@
 
 // learn releases the slot and updates what is known of the leaf.
 func (l *lane) learn(a sender.Answer, err error, latency time.Duration) {
-	l.limiter.Release(outcomeOf(err))
+	l.limiter.Release(limiter.Result{Outcome: outcomeOf(err), Latency: latency, ForeignLoad: -1})
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if err == nil {
@@ -202,8 +204,12 @@
 	switch coder.Of(err) {
 	case pb.ResultCode_RESULT_CODE_OK:
 		return limiter.OutcomeSuccess
-	case pb.ResultCode_RESULT_CODE_LEAF_SHED, pb.ResultCode_RESULT_CODE_LEAF_TIMEOUT:
-		return limiter.OutcomeOverload
+	case pb.ResultCode_RESULT_CODE_LEAF_SHED:
+		return limiter.OutcomeShed
+	case pb.ResultCode_RESULT_CODE_LEAF_TIMEOUT:
+		return limiter.OutcomeTimeout
+	case pb.ResultCode_RESULT_CODE_LEAF_UNREACHABLE:
+		return limiter.OutcomeRefused
 	case pb.ResultCode_RESULT_CODE_CANCELLED, pb.ResultCode_RESULT_CODE_WRONG_SNAPSHOT:
 		return limiter.OutcomeCancelled
 	default:
@@ -250,7 +256,7 @@
 		ExpectedLatency: duration(l.latency),
 		Limit:           limit,
 		InFlight:        uint32(l.limiter.InFlight()),
-		Cold:            limit < float64(l.leaf.GetSlots()),
+		Cold:            l.limiter.Cold(),
 		Owner:           l.dispatcher.config.NodeName,
 		Age:             duration(l.dispatcher.config.Clock.Since(l.readAt)),
 	}
--- a/internal/view/placer/placer.go
+++ b/internal/view/placer/placer.go
@@ -11,6 +11,11 @@
 	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
 )
 
+const (
+	// rankedCount is how many nodes are ranked for a leaf: its owner and those that may promise to it.
+	rankedCount = 3
+)
+
 type (
 	// View is the part of the membership that placement needs.
 	View interface {
@@ -38,8 +43,8 @@
 		mutex  sync.Mutex
 		// ranked is valid for generation and index only.
 		ranked map[string][]*pb.Member
-		// eligible has the members whose availability zone is in service, or all when none is.
-		eligible   []*pb.Member
+		// ranker ranks the members whose availability zone is in service, or all when none is.
+		ranker     *ranker.Ranker
 		generation uint64
 		index      *indexer.Index
 	}
@@ -59,8 +64,8 @@
 	return ranked[0]
 }
 
-// Ranked returns all nodes in the order in which they would own the leaf. The slice is shared and must
-// not be changed.
+// Ranked returns the first three nodes in the order in which they would own the leaf. The slice is shared
+// and must not be changed.
 func (p *Placer) Ranked(leaf string) []*pb.Member {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -72,7 +77,7 @@
 	if !ok {
 		return nil
 	}
-	ranked := ranker.Rank(p.key(entry), p.eligible)
+	ranked := p.ranker.Leading(p.key(entry), rankedCount)
 	p.ranked[leaf] = ranked
 	return ranked
 }
@@ -91,7 +96,7 @@
 	p.generation = generation
 	p.index = index
 	p.ranked = map[string][]*pb.Member{}
-	p.eligible = eligible(index, p.view.Members())
+	p.ranker = ranker.New(eligible(index, p.view.Members()))
 }
 
 // eligible leaves out the nodes of zones that operators have taken out of service.
