--- a/internal/view/tenant/tenant_test.go
+++ b/internal/view/tenant/tenant_test.go
@@ -374,8 +374,8 @@
 	}
 }
 
-// Under kills, freezes, views that differ and a cut of one direction between two nodes, the calls of all owners together
-// stay within the slots of the leaf, and one node holds the leaf once the faults have ended.
+// Under kills, freezes, views that differ and a cut of one direction between two nodes, the calls of all
+// owners together stay within the slots of the leaf, and one node holds it once the faults have ended.
 func TestSumInFlightStaysWithinSlots(t *testing.T) {
 	fixSeed()
 	rapid.Check(t, func(r *rapid.T) {
