Make operators' changes exact under lost answers

Cause: a lost answer with the object still unchanged was answered at once, so a write that landed later made the answer false; the trail grew without bound; the bootstrap token could do everything. Change: read back, then repeat under the same precondition and change id until the outcome is known or 6 s are over; older changes move to archive objects before they are dropped; a tombstone can be created over; bootstrap reads and creates operators only; TLS for callers and operators; stepctl tries several nodes with the same change id, and has 'change'.

--- a/internal/command/controller/apply.go
+++ b/internal/command/controller/apply.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,6 +17,7 @@
 		File    string `required:"" short:"f" help:"Configuration file (JSON), or - for standard input."`
 		Version int64  `default:"-1" help:"Version that each object must have; 0 creates, -1 takes the version at hand."`
 		Reason  string `required:"" help:"Why; kept in the audit trail."`
+		Only    string `help:"Apply the objects of this kind alone, for example operator." placeholder:"KIND"`
 	}
 )
 
@@ -35,6 +37,9 @@
 		return errors.Wrap(err, v.File)
 	}
 	for _, o := range objectsOf(file) {
+		if kind, _, _ := strings.Cut(keyer.Of(o), "/"); v.Only != "" && v.Only != kind {
+			continue
+		}
 		if err := s.apply(o, v.Version, v.Reason); err != nil {
 			return err
 		}
@@ -55,11 +60,12 @@
 func (s *session) apply(o *pb.ConfigObject, version int64, reason string) error {
 	ctx, cancel := s.context()
 	defer cancel()
+	id := newChangeID()
 	response, err := s.client.ApplyObject(ctx, request(s, &pb.ApplyObjectRequest{
-		Object: o, ExpectedVersion: version, ChangeId: newChangeID(), Reason: reason,
+		Object: o, ExpectedVersion: version, ChangeId: id, Reason: reason,
 	}))
 	if err != nil {
-		return unreachable(err)
+		return unanswered(err, keyer.Of(o), id)
 	}
 	return s.report(keyer.Of(o), response.Msg.GetOutcome())
 }
--- a/internal/command/controller/controller.go
+++ b/internal/command/controller/controller.go
@@ -41,15 +41,17 @@
 
 	// verbs is the table of operations.
 	verbs struct {
-		Node   string `required:"" env:"STEPCTL_NODE" help:"IP and port of a node's operator side." placeholder:"IP:PORT"`
-		Token  string `env:"STEPCTL_TOKEN" help:"Bearer token."`
-		Output string `enum:"table,json" default:"table" help:"Output format: table or json."`
+		Node   []string `required:"" env:"STEPCTL_NODE" placeholder:"IP:PORT" help:"Operator side of nodes, tried in turn."`
+		Token  string   `env:"STEPCTL_TOKEN" help:"Bearer token."`
+		CAFile string   `env:"STEPCTL_CA_FILE" help:"Speak TLS and trust the certificates in this PEM file."`
+		Output string   `enum:"table,json" default:"table" help:"Output format: table or json."`
 
 		Apply     applyVerb     `cmd:"" help:"Apply the objects of a configuration file."`
 		Get       getVerb       `cmd:"" help:"Show one object."`
 		List      listVerb      `cmd:"" help:"List objects."`
 		Delete    deleteVerb    `cmd:"" help:"Delete one object."`
 		Zone      zoneVerb      `cmd:"" help:"Take an availability zone out of service, or bring it back."`
+		Change    changeVerb    `cmd:"" help:"Ask whether a change was accepted."`
 		Audit     auditVerb     `cmd:"" help:"Show who changed what, when and why."`
 		RequestID requestIDVerb `cmd:"" name:"request-id" help:"Print a new request id (UUIDv7)."`
 		Status    statusVerb    `cmd:"" help:"Show a node's state and its view of the others."`
@@ -78,7 +80,11 @@
 	if err != nil {
 		return c.fail(fmt.Errorf("%w; see %s --help", err, programName), exitUsage)
 	}
-	if err := parsed.Run(newSession(c.config, table)); err != nil {
+	session, err := newSession(c.config, table)
+	if err != nil {
+		return c.fail(err, exitUsage)
+	}
+	if err := parsed.Run(session); err != nil {
 		return c.fail(err, exitCodeOf(err))
 	}
 	return exitOK
--- a/internal/command/controller/objects.go
+++ b/internal/command/controller/objects.go
@@ -58,11 +58,12 @@
 func (v *deleteVerb) Run(s *session) error {
 	ctx, cancel := s.context()
 	defer cancel()
+	id := newChangeID()
 	response, err := s.client.DeleteObject(ctx, request(s, &pb.DeleteObjectRequest{
-		Key: v.Key, ExpectedVersion: v.Version, ChangeId: newChangeID(), Reason: v.Reason,
+		Key: v.Key, ExpectedVersion: v.Version, ChangeId: id, Reason: v.Reason,
 	}))
 	if err != nil {
-		return unreachable(err)
+		return unanswered(err, v.Key, id)
 	}
 	return s.report(v.Key, response.Msg.GetOutcome())
 }
--- a/internal/command/controller/session.go
+++ b/internal/command/controller/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -17,7 +18,7 @@
 )
 
 const (
-	callTimeout   = 10 * time.Second
+	callTimeout   = time.Minute
 	columnPadding = 2
 	outputJSON    = "json"
 )
@@ -38,13 +39,17 @@
 	}
 )
 
-func newSession(c Config, v *verbs) *session {
+func newSession(c Config, v *verbs) (*session, error) {
+	nodes, err := newFailover(v.Node, v.CAFile)
+	if err != nil {
+		return nil, err
+	}
 	return &session{
 		config: c,
-		client: magnoliastepv1connect.NewOperatorServiceClient(&http.Client{Timeout: callTimeout}, "http://"+v.Node),
+		client: magnoliastepv1connect.NewOperatorServiceClient(&http.Client{Transport: nodes}, nodes.baseURL()),
 		token:  v.Token,
 		output: v.Output,
-	}
+	}, nil
 }
 
 // request returns the message with the bearer token.
@@ -82,7 +87,7 @@
 		}
 	}
 	if err := check(o.GetCode(), o.GetMessage()); err != nil {
-		return fmt.Errorf("%s: %w", key, err)
+		return fmt.Errorf("%s: %w%s", key, err, advice(key, o))
 	}
 	if s.output == outputJSON {
 		return nil
@@ -91,6 +96,20 @@
 	return err
 }
 
+// advice says what the operator can do about the outcome.
+func advice(key string, o *pb.ChangeOutcome) string {
+	switch o.GetCode() {
+	case pb.ResultCode_RESULT_CODE_CHANGE_OUTCOME_UNKNOWN:
+		return fmt.Sprintf("; ask with: %s change %s %s", programName, key, o.GetChangeId())
+	case pb.ResultCode_RESULT_CODE_VERSION_CONFLICT:
+		return fmt.Sprintf("; look with: %s get %s", programName, key)
+	case pb.ResultCode_RESULT_CODE_INVALID_OBJECT:
+		return "\n  " + strings.Join(o.GetFieldErrors(), "\n  ")
+	default:
+		return ""
+	}
+}
+
 func newChangeID() string {
 	return uuid.Must(uuid.NewV7()).String()
 }
@@ -102,10 +121,24 @@
 	return &callError{code: code, message: message}
 }
 
+// unreachable is the error of a read that no node answered.
 func unreachable(err error) error {
 	return &callError{
 		code:    pb.ResultCode_RESULT_CODE_PLATFORM_UNAVAILABLE,
-		message: "node cannot be reached: " + err.Error(),
+		message: "no node can be reached: " + err.Error(),
+	}
+}
+
+// unanswered is the error of a change that no node answered. Once a node may have got the request, the
+// outcome is unknown.
+func unanswered(err error, key, changeID string) error {
+	if neverSent(err) {
+		return unreachable(err)
+	}
+	return &callError{
+		code: pb.ResultCode_RESULT_CODE_CHANGE_OUTCOME_UNKNOWN,
+		message: fmt.Sprintf("no node answered (%v); the change may or may not have been made; ask with: %s change %s %s",
+			err, programName, key, changeID),
 	}
 }
 
--- a/internal/config/keeper/keeper.go
+++ b/internal/config/keeper/keeper.go
@@ -129,8 +129,8 @@
 
 func (k *Keeper) takeOne(o *pb.ConfigObject) bool {
 	key := keyer.Of(o)
-	if key == "" {
-		return false
+	if key == "" || o.GetChangeArchive() != nil {
+		return false // archives are read from the platform alone
 	}
 	before := k.objects[key].GetVersion()
 	if o.GetVersion() <= before {
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -161,8 +161,8 @@
 	operators := n.httpServer(n.config.Settings.GetOperatorAddress(), n.operator.Handler())
 	failures := make(chan error, 3)
 	go func() { failures <- n.messenger.Serve(peers) }()
-	go func() { failures <- errors.Wrap(callers.ListenAndServe(), "serve callers") }()
-	go func() { failures <- errors.Wrap(operators.ListenAndServe(), "serve operators") }()
+	go func() { failures <- errors.Wrap(n.listenAndServe(callers), "serve callers") }()
+	go func() { failures <- errors.Wrap(n.listenAndServe(operators), "serve operators") }()
 	n.config.Logger.Info("node started", "node", n.config.Settings.GetNodeName(),
 		"caller_address", n.config.Settings.GetCallerAddress())
 	select {
--- a/internal/node/assembler/operatorside.go
+++ b/internal/node/assembler/operatorside.go
@@ -1,6 +1,8 @@
 package assembler
 
 import (
+	"net/http"
+
 	"github.com/magnoliastep/magnoliastep/internal/operator/applier"
 	"github.com/magnoliastep/magnoliastep/internal/operator/authorizer"
 	operatorserver "github.com/magnoliastep/magnoliastep/internal/operator/server"
@@ -16,3 +18,12 @@
 		Store:   n.config.Store, Status: n, Logger: n.config.Logger,
 	})
 }
+
+// listenAndServe serves callers or operators, over TLS where the settings name a certificate.
+func (n *Node) listenAndServe(s *http.Server) error {
+	tls := n.config.Settings.GetTls()
+	if tls == nil {
+		return s.ListenAndServe()
+	}
+	return s.ListenAndServeTLS(tls.GetCertificateFile(), tls.GetKeyFile())
+}
--- /dev/null
+++ b/internal/operator/applier/outcomes.go
@@ -0,0 +1,47 @@
+package applier
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+)
+
+// conflict names the change that stands.
+func conflict(c Change, key string, now *pb.ConfigObject) *pb.ChangeOutcome {
+	o := outcome(c, pb.ResultCode_RESULT_CODE_VERSION_CONFLICT, "%s has version %d", key, now.GetVersion())
+	if c.ExpectedVersion != AnyVersion {
+		o.Message += fmt.Sprintf(", expected %d", c.ExpectedVersion)
+	}
+	o.Version = now.GetVersion()
+	if n := len(now.GetChanges()); n > 0 {
+		o.Winner = now.GetChanges()[n-1]
+		o.Message += fmt.Sprintf("; it was changed by %s (change %s: %s)",
+			o.GetWinner().GetActor(), o.GetWinner().GetChangeId(), o.GetWinner().GetReason())
+	}
+	return o
+}
+
+func accepted(c Change, version int64) *pb.ChangeOutcome {
+	return &pb.ChangeOutcome{Code: pb.ResultCode_RESULT_CODE_OK, ChangeId: c.ID, Version: version}
+}
+
+func outcome(c Change, code pb.ResultCode, format string, arguments ...any) *pb.ChangeOutcome {
+	return &pb.ChangeOutcome{Code: code, ChangeId: c.ID, Message: fmt.Sprintf(format, arguments...)}
+}
+
+func encode(o *pb.ConfigObject) ([]byte, error) {
+	value, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(o)
+	return value, errors.Wrap(err, "encode object")
+}
+
+// digest covers the spec alone.
+func digest(o *pb.ConfigObject) string {
+	spec := &pb.ConfigObject{Deleted: o.GetDeleted(), Spec: o.GetSpec()}
+	value, _ := proto.MarshalOptions{Deterministic: true}.Marshal(spec)
+	return fmt.Sprintf("%016x", xxhash.Sum64(value))
+}
--- a/internal/operator/authorizer/authorizer.go
+++ b/internal/operator/authorizer/authorizer.go
@@ -28,8 +28,8 @@
 	// Config holds what an Authorizer needs.
 	Config struct {
 		Source ConfigSource
-		// BootstrapHash is the lower-case hex SHA-256 of a token that may do everything but agree to
-		// refusals. Empty means that there is none.
+		// BootstrapHash is the lower-case hex SHA-256 of a token that may read and create operators, for
+		// a first start. Empty means that there is none.
 		BootstrapHash string
 	}
 
@@ -51,8 +51,8 @@
 	if !ok || token == "" {
 		return "", coder.New(pb.ResultCode_RESULT_CODE_UNAUTHENTICATED, "no bearer token")
 	}
-	if a.isBootstrap(token) && !slices.Equal(roles, []pb.Role{pb.Role_ROLE_DIRECTOR}) {
-		return BootstrapName, nil
+	if a.isBootstrap(token) {
+		return authorizeBootstrap(roles)
 	}
 	o := a.config.Source.Index().OperatorByCredential(token)
 	if o == nil {
@@ -67,6 +67,24 @@
 		"operator %q has none of the roles %v", o.GetName(), roles)
 }
 
+// AuthorizeCreateOperator returns the actor who may create operators: an operator, or the bootstrap token.
+func (a *Authorizer) AuthorizeCreateOperator(header string) (string, error) {
+	token, ok := strings.CutPrefix(header, bearerPrefix)
+	if ok && a.isBootstrap(token) {
+		return BootstrapName, nil
+	}
+	return a.Authorize(header, pb.Role_ROLE_OPERATOR)
+}
+
+// authorizeBootstrap lets the bootstrap token do what viewers may do.
+func authorizeBootstrap(roles []pb.Role) (string, error) {
+	if slices.Contains(roles, pb.Role_ROLE_VIEWER) {
+		return BootstrapName, nil
+	}
+	return "", coder.New(pb.ResultCode_RESULT_CODE_ROLE_MISSING,
+		"the bootstrap token may only read and create operators")
+}
+
 func (a *Authorizer) isBootstrap(token string) bool {
 	if a.config.BootstrapHash == "" {
 		return false
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -9,7 +9,6 @@
 
 	"connectrpc.com/connect"
 
-	"github.com/magnoliastep/magnoliastep/internal/config/keyer"
 	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1/magnoliastepv1connect"
@@ -22,12 +21,14 @@
 	// Authorizer checks operators.
 	Authorizer interface {
 		Authorize(header string, roles ...pb.Role) (string, error)
+		AuthorizeCreateOperator(header string) (string, error)
 	}
 
 	// Applier makes changes.
 	Applier interface {
 		Apply(ctx context.Context, c applier.Change) *pb.ChangeOutcome
 		Find(ctx context.Context, key, changeID string) (*pb.Change, error)
+		Trail(ctx context.Context, key string) ([]*pb.KeyedChange, error)
 	}
 
 	// Store reads the platform's objects.
@@ -75,15 +76,7 @@
 func (s *Server) ApplyObject(
 	ctx context.Context, r *connect.Request[pb.ApplyObjectRequest],
 ) (*connect.Response[pb.ApplyObjectResponse], error) {
-	actor, err := s.config.Authorizer.Authorize(r.Header().Get("Authorization"), pb.Role_ROLE_OPERATOR)
-	if err != nil {
-		return connect.NewResponse(&pb.ApplyObjectResponse{Outcome: failed(r.Msg.GetChangeId(), err)}), nil
-	}
-	key := keyer.Of(r.Msg.GetObject())
-	outcome := s.apply(ctx, applier.Change{
-		ID: r.Msg.GetChangeId(), Actor: actor, Reason: r.Msg.GetReason(),
-		ExpectedVersion: r.Msg.GetExpectedVersion(), Object: r.Msg.GetObject(), Summary: "apply " + key,
-	})
+	outcome := s.applyObject(ctx, r.Header().Get("Authorization"), r.Msg)
 	return connect.NewResponse(&pb.ApplyObjectResponse{Outcome: outcome}), nil
 }
 
@@ -91,19 +84,7 @@
 func (s *Server) DeleteObject(
 	ctx context.Context, r *connect.Request[pb.DeleteObjectRequest],
 ) (*connect.Response[pb.DeleteObjectResponse], error) {
-	actor, err := s.config.Authorizer.Authorize(r.Header().Get("Authorization"), pb.Role_ROLE_OPERATOR)
-	if err != nil {
-		return connect.NewResponse(&pb.DeleteObjectResponse{Outcome: failed(r.Msg.GetChangeId(), err)}), nil
-	}
-	object, err := s.read(ctx, r.Msg.GetKey())
-	if err != nil {
-		return connect.NewResponse(&pb.DeleteObjectResponse{Outcome: failed(r.Msg.GetChangeId(), err)}), nil
-	}
-	object.Deleted = true
-	outcome := s.apply(ctx, applier.Change{
-		ID: r.Msg.GetChangeId(), Actor: actor, Reason: r.Msg.GetReason(),
-		ExpectedVersion: r.Msg.GetExpectedVersion(), Object: object, Summary: "delete " + r.Msg.GetKey(),
-	})
+	outcome := s.deleteObject(ctx, r.Header().Get("Authorization"), r.Msg)
 	return connect.NewResponse(&pb.DeleteObjectResponse{Outcome: outcome}), nil
 }
 
@@ -150,7 +131,8 @@
 		response.Message = err.Error()
 	case change == nil:
 		response.Code = pb.ResultCode_RESULT_CODE_NOT_FOUND
-		response.Message = "no such change"
+		response.Message = "the change is not in the audit trail now; while its outcome is unknown, " +
+			"repeat it with the same change id to settle it"
 	}
 	return connect.NewResponse(response), nil
 }
@@ -162,17 +144,12 @@
 	if err := s.authorizeReader(r.Header()); err != nil {
 		return connect.NewResponse(&pb.ListChangesResponse{Code: coder.Of(err), Message: err.Error()}), nil
 	}
-	objects, err := s.list(ctx, r.Msg.GetKey(), true)
+	changes, err := s.config.Applier.Trail(ctx, r.Msg.GetKey())
 	if err != nil {
+		err = storeError(err)
 		return connect.NewResponse(&pb.ListChangesResponse{Code: coder.Of(err), Message: err.Error()}), nil
 	}
-	response := &pb.ListChangesResponse{Code: pb.ResultCode_RESULT_CODE_OK}
-	for _, o := range objects {
-		for _, c := range o.GetChanges() {
-			response.Changes = append(response.Changes, &pb.KeyedChange{Key: keyer.Of(o), Change: c})
-		}
-	}
-	return connect.NewResponse(response), nil
+	return connect.NewResponse(&pb.ListChangesResponse{Code: pb.ResultCode_RESULT_CODE_OK, Changes: changes}), nil
 }
 
 // GetStatus implements the RPC.
@@ -191,17 +168,6 @@
 	return err
 }
 
-// apply carries a change out and logs it.
-func (s *Server) apply(ctx context.Context, c applier.Change) *pb.ChangeOutcome {
-	if c.ID == "" || keyer.Of(c.Object) == "" {
-		return failed(c.ID, coder.New(pb.ResultCode_RESULT_CODE_INVALID_OBJECT, "change_id and object are required"))
-	}
-	outcome := s.config.Applier.Apply(ctx, c)
-	s.config.Logger.Info("change", "change_id", c.ID, "actor", c.Actor, "summary", c.Summary,
-		"code", int(outcome.GetCode()), "version", outcome.GetVersion())
-	return outcome
-}
-
 func (s *Server) read(ctx context.Context, key string) (*pb.ConfigObject, error) {
 	o, err := s.config.Store.Get(ctx, key)
 	if err != nil {
@@ -210,7 +176,11 @@
 	return watcher.Decode(o)
 }
 
-func (s *Server) list(ctx context.Context, prefix string, includeDeleted bool) ([]*pb.ConfigObject, error) {
+func (s *Server) list(ctx context.Context, kind string, includeDeleted bool) ([]*pb.ConfigObject, error) {
+	prefix := kind
+	if kind != "" {
+		prefix += "/"
+	}
 	listing, err := s.config.Store.List(ctx, prefix)
 	if err != nil {
 		return nil, storeError(err)
--- /dev/null
+++ b/internal/operator/server/server_test.go
@@ -0,0 +1,161 @@
+package server_test
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/coder/quartz"
+	"github.com/matryer/is"
+
+	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
+	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1/magnoliastepv1connect"
+	"github.com/magnoliastep/magnoliastep/internal/operator/applier"
+	"github.com/magnoliastep/magnoliastep/internal/operator/authorizer"
+	"github.com/magnoliastep/magnoliastep/internal/operator/server"
+	"github.com/magnoliastep/magnoliastep/internal/platform/client"
+	"github.com/magnoliastep/magnoliastep/internal/stand/storer"
+)
+
+const (
+	ok          = pb.ResultCode_RESULT_CODE_OK
+	roleMissing = pb.ResultCode_RESULT_CODE_ROLE_MISSING
+	invalid     = pb.ResultCode_RESULT_CODE_INVALID_OBJECT
+	conflict    = pb.ResultCode_RESULT_CODE_VERSION_CONFLICT
+)
+
+type (
+	// fixture is an operator server over a stand-in platform.
+	fixture struct {
+		client magnoliastepv1connect.OperatorServiceClient
+		keeper *keeper.Keeper
+	}
+
+	noStatus struct{}
+)
+
+func (noStatus) Status() *pb.GetStatusResponse {
+	return &pb.GetStatusResponse{Code: ok}
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	clock := quartz.NewReal()
+	platform := httptest.NewServer(storer.New(storer.Config{Clock: clock}).Handler())
+	t.Cleanup(platform.Close)
+	store := client.New(client.Config{URLs: []string{platform.URL}})
+	k := keeper.New(keeper.Config{})
+	s := server.New(server.Config{
+		Authorizer: authorizer.New(authorizer.Config{
+			Source: k, BootstrapHash: indexer.HashCredential("bootstrap-token"),
+		}),
+		Applier: applier.New(applier.Config{Store: store, Keeper: k, Clock: clock}),
+		Store:   store, Status: noStatus{}, Logger: slog.New(slog.DiscardHandler),
+	})
+	operators := httptest.NewServer(s.Handler())
+	t.Cleanup(operators.Close)
+	return &fixture{
+		client: magnoliastepv1connect.NewOperatorServiceClient(operators.Client(), operators.URL),
+		keeper: k,
+	}
+}
+
+func call[T any](token string, m *T) *connect.Request[T] {
+	r := connect.NewRequest(m)
+	r.Header().Set("Authorization", "Bearer "+token)
+	return r
+}
+
+func (f *fixture) apply(t *testing.T, token, id string, o *pb.ConfigObject, expected int64) *pb.ChangeOutcome {
+	t.Helper()
+	r, err := f.client.ApplyObject(context.Background(), call(token, &pb.ApplyObjectRequest{
+		Object: o, ExpectedVersion: expected, ChangeId: id, Reason: "test",
+	}))
+	is.New(t).NoErr(err)
+	return r.Msg.GetOutcome()
+}
+
+func (f *fixture) remove(t *testing.T, token, id, key string) *pb.ChangeOutcome {
+	t.Helper()
+	r, err := f.client.DeleteObject(context.Background(), call(token, &pb.DeleteObjectRequest{
+		Key: key, ExpectedVersion: applier.AnyVersion, ChangeId: id, Reason: "test",
+	}))
+	is.New(t).NoErr(err)
+	return r.Msg.GetOutcome()
+}
+
+func operator(name, token string, roles ...pb.Role) *pb.ConfigObject {
+	return &pb.ConfigObject{Spec: &pb.ConfigObject_Operator{Operator: &pb.Operator{
+		Name: name, CredentialHash: indexer.HashCredential(token), Roles: roles,
+		WakeAddress: "http://10.0.0.1:80/page",
+	}}}
+}
+
+func zone(name string) *pb.ConfigObject {
+	return &pb.ConfigObject{Spec: &pb.ConfigObject_AvailabilityZone{
+		AvailabilityZone: &pb.AvailabilityZone{Name: name, Region: "r"},
+	}}
+}
+
+func TestBootstrapCreatesOperatorsAlone(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	operator1 := operator("operator-1", "token-1", pb.Role_ROLE_OPERATOR)
+	is.Equal(f.apply(t, "bootstrap-token", "c0", zone("zone-a"), -1).GetCode(), roleMissing)
+	is.Equal(f.apply(t, "bootstrap-token", "c1", operator1, -1).GetCode(), ok)
+	other := operator("operator-1", "token-2", pb.Role_ROLE_OPERATOR)
+	is.Equal(f.apply(t, "bootstrap-token", "c2", other, -1).GetCode(), conflict) // never changes one
+	is.Equal(f.remove(t, "bootstrap-token", "c3", "operator/operator-1").GetCode(), roleMissing)
+	is.Equal(f.apply(t, "token-1", "c4", zone("zone-a"), -1).GetCode(), ok)
+}
+
+func TestRoles(t *testing.T) {
+	f := newFixture(t)
+	roles := map[string]pb.Role{
+		"operator": pb.Role_ROLE_OPERATOR, "director": pb.Role_ROLE_DIRECTOR, "viewer": pb.Role_ROLE_VIEWER,
+	}
+	for name, role := range roles {
+		is.New(t).Equal(f.apply(t, "bootstrap-token", name, operator(name, name, role), 0).GetCode(), ok)
+	}
+	cases := map[string]struct{ apply, read pb.ResultCode }{
+		"operator":        {ok, ok},
+		"director":        {roleMissing, ok},
+		"viewer":          {roleMissing, ok},
+		"bootstrap-token": {roleMissing, ok},
+		"nobody":          {pb.ResultCode_RESULT_CODE_UNAUTHENTICATED, pb.ResultCode_RESULT_CODE_UNAUTHENTICATED},
+		"":                {pb.ResultCode_RESULT_CODE_UNAUTHENTICATED, pb.ResultCode_RESULT_CODE_UNAUTHENTICATED},
+	}
+	for token, c := range cases {
+		t.Run(token, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(f.apply(t, token, "z-"+token, zone("zone-"+token), -1).GetCode(), c.apply)
+			r, err := f.client.ListObjects(context.Background(), call(token, &pb.ListObjectsRequest{}))
+			is.NoErr(err)
+			is.Equal(r.Msg.GetCode(), c.read)
+		})
+	}
+}
+
+func TestDeleteLeavesATombstoneThatCanBeRecreated(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.apply(t, "bootstrap-token", "c1", operator("op", "op", pb.Role_ROLE_OPERATOR), 0)
+	is.Equal(f.apply(t, "op", "c2", zone("zone-a"), 0).GetCode(), ok)
+	is.Equal(f.remove(t, "op", "c3", "availability_zone/zone-a").GetCode(), ok)
+	is.Equal(f.keeper.Index().Zone("zone-a"), nil)
+	is.Equal(f.apply(t, "op", "c4", zone("zone-a"), 0).GetCode(), ok)
+	r, err := f.client.ListChanges(context.Background(), call("op", &pb.ListChangesRequest{
+		Key: "availability_zone/zone-a",
+	}))
+	is.NoErr(err)
+	is.Equal(len(r.Msg.GetChanges()), 3)
+	found, err := f.client.GetChange(context.Background(), call("op", &pb.GetChangeRequest{
+		Key: "availability_zone/zone-a", ChangeId: "c3",
+	}))
+	is.NoErr(err)
+	is.Equal(found.Msg.GetCode(), ok)
+}
--- a/test/demo.sh
+++ b/test/demo.sh
@@ -59,6 +59,8 @@
 wait_for "node start" "$binaries/stepctl" status
 
 echo "# stepctl apply"
+"$binaries/stepctl" apply -f examples/demo/config.json --only operator --reason "first start" | sed 's/, change .*//'
+export STEPCTL_TOKEN=operator-1-token
 "$binaries/stepctl" apply -f examples/demo/config.json --reason "first start" | sed 's/, change .*//'
 
 all_members() { [ "$("$binaries/stepctl" status | grep -c MEMBER_STATE_ALIVE)" = 3 ]; }
