Check settings and configuration strictly, all wrong fields at once

Cause: the decoder stopped at the first wrong field, no value or reference was checked, a file was sent object by object until one failed, and referenced objects could be deleted. Ruled out: protovalidate (its schema cannot be had offline), reading the platform at every change. Change: a walk over the JSON text along the schema; checkers of settings and of configuration objects with their references; used by stepd check and run, stepctl apply and diff before anything is sent, and the operator server; stepctl diff; one file a verb; explicit versions, so that a racing change is a conflict.

--- a/internal/command/controller/apply.go
+++ b/internal/command/controller/apply.go
@@ -1,21 +1,19 @@
 package controller
 
 import (
-	"io"
-	"os"
+	"fmt"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/magnoliastep/magnoliastep/internal/config/keyer"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
-	"github.com/magnoliastep/magnoliastep/internal/settings/decoder"
 )
 
 type (
 	applyVerb struct {
 		File    string `required:"" short:"f" help:"Configuration file (JSON), or - for standard input."`
-		Version int64  `default:"-1" help:"Version that each object must have; 0 creates, -1 takes the version at hand."`
+		Version int64  `default:"-1" help:"Version that each object must have; 0 creates, -1 is the version in force now."`
 		Reason  string `required:"" help:"Why; kept in the audit trail."`
 		Only    string `help:"Apply the objects of this kind alone, for example operator." placeholder:"KIND"`
 	}
@@ -23,37 +21,48 @@
 
 // Help shows examples.
 func (v *applyVerb) Help() string {
-	return "Example:\n  stepctl --node 127.0.0.1:7201 apply -f demo.json --reason 'first start'"
+	return "The whole file is checked before anything is sent. Objects that are in force already are left as " +
+		"they are. Objects that the file does not name stay.\n\nExamples:\n" +
+		"  stepctl apply -f config.json --reason 'first start'\n" +
+		"  stepctl apply -f - --version 12 --reason 'more slots' < service.json"
 }
 
 // Run implements the verb.
 func (v *applyVerb) Run(s *session) error {
-	text, err := v.read(s)
+	changes, err := s.readFile(v.File)
 	if err != nil {
 		return err
 	}
-	file := &pb.ConfigFile{}
-	if err := decoder.Decode(text, file); err != nil {
-		return errors.Wrap(err, v.File)
-	}
-	for _, o := range objectsOf(file) {
-		if kind, _, _ := strings.Cut(keyer.Of(o), "/"); v.Only != "" && v.Only != kind {
+	for i, c := range changes {
+		if kind, _, _ := strings.Cut(keyer.Of(c.object), "/"); v.Only != "" && v.Only != kind {
+			continue
+		}
+		if c.isUnchanged() && v.Version == anyVersion {
 			continue
 		}
-		if err := s.apply(o, v.Version, v.Reason); err != nil {
-			return err
+		if err := s.apply(c.object, v.versionOf(c), v.Reason); err != nil {
+			return errors.WithSecondaryError(fmt.Errorf("%w%s", err, remaining(changes[i+1:])), err)
 		}
 	}
 	return nil
 }
 
-func (v *applyVerb) read(s *session) ([]byte, error) {
-	if v.File == "-" {
-		text, err := io.ReadAll(s.config.Input)
-		return text, errors.Wrap(err, "read standard input")
+// versionOf returns the version that the object must have. It is never left open, so that a racing change
+// is a conflict rather than overwritten.
+func (v *applyVerb) versionOf(c plannedChange) int64 {
+	if v.Version == anyVersion {
+		return c.before.GetVersion()
 	}
-	text, err := os.ReadFile(v.File)
-	return text, errors.Wrap(err, "read configuration")
+	return v.Version
+}
+
+// remaining says which objects of the file were not sent.
+func remaining(changes []plannedChange) string {
+	if len(changes) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("\n  not sent: %d further objects of the file, from %s on; apply the file again",
+		len(changes), keyer.Of(changes[0].object))
 }
 
 // apply sends one object and reports the outcome.
@@ -67,26 +76,5 @@
 	if err != nil {
 		return unanswered(err, keyer.Of(o), id)
 	}
-	return s.report(keyer.Of(o), response.Msg.GetOutcome())
-}
-
-// objectsOf returns the file's objects in the order in which they may refer to each other.
-func objectsOf(f *pb.ConfigFile) []*pb.ConfigObject {
-	var objects []*pb.ConfigObject
-	for _, z := range f.GetAvailabilityZones() {
-		objects = append(objects, &pb.ConfigObject{Spec: &pb.ConfigObject_AvailabilityZone{AvailabilityZone: z}})
-	}
-	for _, o := range f.GetOperators() {
-		objects = append(objects, &pb.ConfigObject{Spec: &pb.ConfigObject_Operator{Operator: o}})
-	}
-	for _, s := range f.GetServices() {
-		objects = append(objects, &pb.ConfigObject{Spec: &pb.ConfigObject_Service{Service: s}})
-	}
-	for _, c := range f.GetClasses() {
-		objects = append(objects, &pb.ConfigObject{Spec: &pb.ConfigObject_Class{Class: c}})
-	}
-	for _, c := range f.GetCallers() {
-		objects = append(objects, &pb.ConfigObject{Spec: &pb.ConfigObject_Caller{Caller: c}})
-	}
-	return objects
+	return s.report(keyer.Of(o), s.settled(response.Msg.GetOutcome(), version))
 }
--- a/internal/command/controller/controller.go
+++ b/internal/command/controller/controller.go
@@ -47,6 +47,7 @@
 		Output string   `enum:"table,json" default:"table" help:"Output format: table or json."`
 
 		Apply     applyVerb     `cmd:"" help:"Apply the objects of a configuration file."`
+		Diff      diffVerb      `cmd:"" help:"Show what apply would change."`
 		Get       getVerb       `cmd:"" help:"Show one object."`
 		List      listVerb      `cmd:"" help:"List objects."`
 		Delete    deleteVerb    `cmd:"" help:"Delete one object."`
--- a/internal/command/controller/failover.go
+++ b/internal/command/controller/failover.go
@@ -26,6 +26,8 @@
 		nodes  []string
 		scheme string
 		http   *http.Transport
+		// lost is set when a node before the one that answered last may have got the request.
+		lost bool
 	}
 
 	// unansweredError says that no node answered.
@@ -71,6 +73,7 @@
 	for _, node := range f.nodes {
 		response, err := f.try(r, node, body)
 		if err == nil {
+			f.lost = failure.sent
 			return response, nil
 		}
 		failure.cause = errors.Wrap(err, node)
@@ -100,6 +103,11 @@
 	return response, nil
 }
 
+// lostAnswer tells whether a node before the one that answered last may have got the request.
+func (f *failover) lostAnswer() bool {
+	return f.lost
+}
+
 func isDial(err error) bool {
 	var operation *net.OpError
 	return errors.As(err, &operation) && operation.Op == "dial"
--- /dev/null
+++ b/internal/command/controller/files_test.go
@@ -0,0 +1,115 @@
+package controller_test
+
+import (
+	"log/slog"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/coder/quartz"
+	"github.com/matryer/is"
+
+	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
+	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/operator/applier"
+	"github.com/magnoliastep/magnoliastep/internal/operator/authorizer"
+	"github.com/magnoliastep/magnoliastep/internal/operator/server"
+	"github.com/magnoliastep/magnoliastep/internal/platform/client"
+	"github.com/magnoliastep/magnoliastep/internal/stand/storer"
+)
+
+type (
+	noStatus struct{}
+)
+
+const (
+	demoFile = "../../../examples/demo/config.json"
+)
+
+func (noStatus) Status() *pb.GetStatusResponse {
+	return &pb.GetStatusResponse{Code: pb.ResultCode_RESULT_CODE_OK}
+}
+
+// newNode starts a real operator server with the operators of the demo.
+func newNode(t *testing.T) {
+	t.Helper()
+	clock := quartz.NewReal()
+	platform := httptest.NewServer(storer.New(storer.Config{Clock: clock}).Handler())
+	t.Cleanup(platform.Close)
+	store := client.New(client.Config{URLs: []string{platform.URL}})
+	k := keeper.New(keeper.Config{})
+	s := httptest.NewServer(server.New(server.Config{
+		Authorizer: authorizer.New(authorizer.Config{Source: k, BootstrapHash: indexer.HashCredential("bootstrap-token")}),
+		Applier:    applier.New(applier.Config{Store: store, Keeper: k, Clock: clock}),
+		Store:      store, Keeper: k, Status: noStatus{}, Logger: slog.New(slog.DiscardHandler),
+	}).Handler())
+	t.Cleanup(s.Close)
+	t.Setenv("STEPCTL_NODE", addressOf(s))
+	code, _, failures := run("", "--token", "bootstrap-token", "apply", "-f", demoFile, "--only", "operator", "--reason", "t")
+	is.New(t).Equal(failures, "")
+	is.New(t).Equal(code, 0)
+	t.Setenv("STEPCTL_TOKEN", "operator-1-token")
+}
+
+func TestApplyAndApplyAgain(t *testing.T) {
+	is := is.New(t)
+	newNode(t)
+	code, output, failures := run("", "apply", "-f", demoFile, "--reason", "t")
+	is.Equal(failures, "")
+	is.Equal(code, 0)
+	is.Equal(strings.Count(output, "\n"), 10) // 3 zones, 2 services, 3 classes, 2 callers
+	code, output, _ = run("", "apply", "-f", demoFile, "--reason", "t")
+	is.Equal(code, 0)
+	is.Equal(output, "") // nothing changed, so nothing was sent
+}
+
+func TestDiffAndApplyFromStandardInput(t *testing.T) {
+	is := is.New(t)
+	newNode(t)
+	run("", "apply", "-f", demoFile, "--reason", "t")
+	text, err := os.ReadFile(demoFile)
+	is.NoErr(err)
+	changed := strings.Replace(string(text), `"lateness": "3s"`, `"lateness": "4s"`, 1)
+	code, output, _ := run(changed, "diff", "-f", "-")
+	is.Equal(code, 0)
+	is.True(strings.HasPrefix(output, "class/towpath-desk.book-stall (version "))
+	is.True(strings.HasSuffix(output, "- lateness: \"3s\"\n+ lateness: \"4s\"\n"))
+	code, output, _ = run(changed, "apply", "-f", "-", "--reason", "t")
+	is.Equal(code, 0)
+	is.Equal(strings.Count(output, "\n"), 1) // the changed class alone
+	code, output, _ = run(changed, "diff", "-f", "-")
+	is.Equal(code, 0)
+	is.Equal(output, "")
+}
+
+func TestAWrongFileIsNotHalfApplied(t *testing.T) {
+	is := is.New(t)
+	newNode(t)
+	file := `{"availability_zones":[{"name":"a","region":"r"}],"classes":[{"name":"c","service":"none","worth":-1}]}`
+	code, output, failures := run(file, "apply", "-f", "-", "--reason", "t")
+	is.Equal(code, 1)
+	is.Equal(output, "")
+	for _, want := range []string{
+		"class/none.c: kind: must be", "class/none.c: worth: must be above 0", "class/none.c: lateness: must be",
+		"class/none.c: service: service/none does not exist",
+	} {
+		is.True(strings.Contains(failures, want))
+	}
+	_, output, _ = run("", "list", "availability_zone")
+	is.Equal(strings.Count(output, "\n"), 1) // the header alone: the good zone was not applied
+}
+
+func TestConflictNamesTheWinner(t *testing.T) {
+	is := is.New(t)
+	newNode(t)
+	file := `{"availability_zones":[{"name":"a","region":"r"}]}`
+	run(file, "apply", "-f", "-", "--reason", "first")
+	code, _, failures := run(`{"availability_zones":[{"name":"a","region":"q"}]}`,
+		"apply", "-f", "-", "--reason", "second", "--version", "1")
+	is.Equal(code, 3)
+	is.True(strings.Contains(failures, "changed by operator-1"))
+	is.True(strings.Contains(failures, "first"))
+	is.True(strings.Contains(failures, "stepctl get availability_zone/a"))
+}
--- a/internal/command/controller/session.go
+++ b/internal/command/controller/session.go
@@ -21,6 +21,7 @@
 	callTimeout   = time.Minute
 	columnPadding = 2
 	outputJSON    = "json"
+	anyVersion    = -1
 )
 
 type (
@@ -28,6 +29,7 @@
 	session struct {
 		config Config
 		client magnoliastepv1connect.OperatorServiceClient
+		nodes  *failover
 		token  string
 		output string
 	}
@@ -46,6 +48,7 @@
 	}
 	return &session{
 		config: c,
+		nodes:  nodes,
 		client: magnoliastepv1connect.NewOperatorServiceClient(&http.Client{Transport: nodes}, nodes.baseURL()),
 		token:  v.Token,
 		output: v.Output,
@@ -96,6 +99,21 @@
 	return err
 }
 
+// settled returns the outcome as it is to be reported. When a node before the one that answered may have
+// got the change too and still work on it, only an acceptance, or a conflict over an explicit version,
+// says what became of it.
+func (s *session) settled(o *pb.ChangeOutcome, version int64) *pb.ChangeOutcome {
+	certain := o.GetCode() == pb.ResultCode_RESULT_CODE_OK ||
+		(o.GetCode() == pb.ResultCode_RESULT_CODE_VERSION_CONFLICT && version != anyVersion)
+	if certain || !s.nodes.lostAnswer() {
+		return o
+	}
+	return &pb.ChangeOutcome{
+		Code: pb.ResultCode_RESULT_CODE_CHANGE_OUTCOME_UNKNOWN, ChangeId: o.GetChangeId(),
+		Message: "a node did not answer, and the next one said: " + o.GetMessage(),
+	}
+}
+
 // advice says what the operator can do about the outcome.
 func advice(key string, o *pb.ChangeOutcome) string {
 	switch o.GetCode() {
--- a/internal/command/daemon/check.go
+++ b/internal/command/daemon/check.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-
-	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
-	"github.com/magnoliastep/magnoliastep/internal/settings/decoder"
 )
 
 type (
@@ -20,7 +17,7 @@
 
 // Run implements the verb.
 func (v *checkVerb) Run(s *streams) error {
-	if err := decoder.DecodeFile(v.Settings, &pb.NodeSettings{}); err != nil {
+	if _, err := readSettings(v.Settings); err != nil {
 		return err
 	}
 	_, err := fmt.Fprintf(s.output, "%s: settings are good\n", v.Settings)
--- a/internal/command/daemon/run.go
+++ b/internal/command/daemon/run.go
@@ -7,10 +7,8 @@
 
 	"github.com/coder/quartz"
 
-	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/node/assembler"
 	"github.com/magnoliastep/magnoliastep/internal/platform/client"
-	"github.com/magnoliastep/magnoliastep/internal/settings/decoder"
 	"github.com/magnoliastep/magnoliastep/internal/settings/filler"
 )
 
@@ -27,8 +25,8 @@
 
 // Run implements the verb.
 func (v *runVerb) Run(s *streams) error {
-	settings := &pb.NodeSettings{}
-	if err := decoder.DecodeFile(v.Settings, settings); err != nil {
+	settings, err := readSettings(v.Settings)
+	if err != nil {
 		return err
 	}
 	filler.Fill(settings)
--- /dev/null
+++ b/internal/command/daemon/settings.go
@@ -0,0 +1,21 @@
+package daemon
+
+import (
+	"github.com/cockroachdb/errors"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/settings/checker"
+	"github.com/magnoliastep/magnoliastep/internal/settings/decoder"
+)
+
+// readSettings decodes and checks a settings file. The error names every wrong field.
+func readSettings(path string) (*pb.NodeSettings, error) {
+	settings := &pb.NodeSettings{}
+	if err := decoder.DecodeFile(path, settings); err != nil {
+		return nil, err
+	}
+	if wrong := checker.Check(settings); len(wrong) > 0 {
+		return nil, errors.Wrapf(decoder.FieldErrors(wrong), "%s", path)
+	}
+	return settings, nil
+}
--- /dev/null
+++ b/internal/config/checker/checker.go
@@ -0,0 +1,209 @@
+// Package checker decides whether configuration objects are valid. An object flows in, one line for
+// each wrong field flows out, beginning with the field's path. Fields are checked first by themselves
+// and then against the other objects that they refer to: a class its service, a caller its classes, a
+// leaf its zone, a service its directors. A referenced object may not be deleted.
+package checker
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"sort"
+	"strings"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/magnoliastep/magnoliastep/internal/config/keyer"
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+)
+
+const (
+	hashPattern = `^[0-9a-f]{64}$`
+	namePattern = `^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`
+)
+
+type (
+	// Config holds what a Checker needs.
+	Config struct {
+		// Objects are those in force, or those of a file laid over them; a later one replaces an
+		// earlier one with the same key.
+		Objects []*pb.ConfigObject
+	}
+
+	// Checker checks objects against the others. It does not change.
+	Checker struct {
+		// objects has the live objects by key, never tombstones.
+		objects map[string]*pb.ConfigObject
+		// keys has the keys of objects in order.
+		keys []string
+		name *regexp.Regexp
+		hash *regexp.Regexp
+	}
+
+	// report collects the wrong fields of one object.
+	report struct {
+		wrong []string
+	}
+)
+
+// New returns a Checker.
+func New(c Config) *Checker {
+	k := &Checker{
+		objects: map[string]*pb.ConfigObject{},
+		name:    regexp.MustCompile(namePattern),
+		hash:    regexp.MustCompile(hashPattern),
+	}
+	for _, o := range c.Objects {
+		key := keyer.Of(o)
+		delete(k.objects, key)
+		if !o.GetDeleted() {
+			k.objects[key] = o
+		}
+	}
+	for key := range k.objects {
+		k.keys = append(k.keys, key)
+	}
+	sort.Strings(k.keys)
+	return k
+}
+
+// Fields returns the fields that are wrong whatever the other objects are.
+func (k *Checker) Fields(o *pb.ConfigObject) []string {
+	r := &report{}
+	switch s := o.GetSpec().(type) {
+	case *pb.ConfigObject_AvailabilityZone:
+		k.checkName(r, "name", s.AvailabilityZone.GetName())
+		k.checkName(r, "region", s.AvailabilityZone.GetRegion())
+	case *pb.ConfigObject_Service:
+		k.checkService(r, s.Service)
+	case *pb.ConfigObject_Class:
+		k.checkClass(r, s.Class)
+	case *pb.ConfigObject_Caller:
+		k.checkCaller(r, s.Caller)
+	case *pb.ConfigObject_Operator:
+		k.checkOperator(r, s.Operator)
+	case nil:
+		r.add("object", "has no spec")
+	}
+	return r.wrong
+}
+
+// References returns the fields that do not fit the other objects.
+func (k *Checker) References(o *pb.ConfigObject) []string {
+	r := &report{}
+	switch s := o.GetSpec().(type) {
+	case *pb.ConfigObject_Service:
+		k.checkServiceReferences(r, s.Service)
+	case *pb.ConfigObject_Class:
+		k.checkExists(r, "service", keyer.Join(keyer.KindService, s.Class.GetService()))
+	case *pb.ConfigObject_Caller:
+		k.checkCallerReferences(r, s.Caller)
+	case *pb.ConfigObject_Operator:
+		k.checkOperatorReferences(r, s.Operator)
+	}
+	return r.wrong
+}
+
+// Referrers returns the keys of the objects that refer to the key, in order.
+func (k *Checker) Referrers(key string) []string {
+	var referrers []string
+	for _, other := range k.keys {
+		if slices.Contains(referencesOf(k.objects[other]), key) {
+			referrers = append(referrers, other)
+		}
+	}
+	return referrers
+}
+
+// referencesOf returns the keys that the object refers to.
+func referencesOf(o *pb.ConfigObject) []string {
+	var keys []string
+	switch s := o.GetSpec().(type) {
+	case *pb.ConfigObject_Service:
+		for _, l := range s.Service.GetLeaves() {
+			keys = append(keys, keyer.Join(keyer.KindAvailabilityZone, l.GetAvailabilityZone()))
+		}
+		for _, d := range s.Service.GetDirectors() {
+			keys = append(keys, keyer.Join(keyer.KindOperator, d))
+		}
+	case *pb.ConfigObject_Class:
+		keys = append(keys, keyer.Join(keyer.KindService, s.Class.GetService()))
+	case *pb.ConfigObject_Caller:
+		for _, c := range s.Caller.GetClasses() {
+			keys = append(keys, classKey(c))
+		}
+	}
+	return keys
+}
+
+// classKey returns the key of a class that is written as service/class.
+func classKey(name string) string {
+	service, class, _ := strings.Cut(name, "/")
+	return keyer.Join(keyer.KindClass, keyer.ClassName(service, class))
+}
+
+func (k *Checker) checkExists(r *report, path, key string) bool {
+	if k.objects[key] == nil {
+		r.add(path, "%s does not exist", key)
+		return false
+	}
+	return true
+}
+
+func (k *Checker) checkName(r *report, path, name string) {
+	if !k.name.MatchString(name) {
+		r.add(path, "must have 1 to 63 of a to z, 0 to 9 and -, not %q", name)
+	}
+}
+
+func (k *Checker) checkHash(r *report, path, hash string) {
+	if !k.hash.MatchString(hash) {
+		r.add(path, "must be a lower-case hex SHA-256 (64 digits), not %q", hash)
+	}
+}
+
+func (r *report) checkAddress(path, address string) {
+	if a, err := netip.ParseAddrPort(address); err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+		r.add(path, "must be IP:port, not %q", address)
+	}
+}
+
+func (r *report) checkURL(path, text string) {
+	u, err := url.Parse(text)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		r.add(path, "must be a URL beginning with http:// or https://, not %q", text)
+	}
+}
+
+func (r *report) checkShare(path string, share float64) {
+	if !(share >= 0 && share <= 1) {
+		r.add(path, "must be from 0 to 1, not %v", share)
+	}
+}
+
+func (r *report) checkAboveZero(path string, value float64) {
+	if !(value > 0) || math.IsInf(value, 0) {
+		r.add(path, "must be above 0, not %v", value)
+	}
+}
+
+func (r *report) checkDuration(path string, d *durationpb.Duration) {
+	if !d.IsValid() || d.AsDuration() <= 0 {
+		r.add(path, "must be a duration above 0")
+	}
+}
+
+func (r *report) add(path, format string, arguments ...any) {
+	r.wrong = append(r.wrong, path+": "+fmt.Sprintf(format, arguments...))
+}
+
+func at(list string, i int, field string) string {
+	path := fmt.Sprintf("%s[%d]", list, i)
+	if field == "" {
+		return path
+	}
+	return path + "." + field
+}
--- a/internal/node/assembler/operatorside.go
+++ b/internal/node/assembler/operatorside.go
@@ -15,7 +15,7 @@
 			Source: n.keeper, BootstrapHash: n.config.Settings.GetBootstrapCredentialHash(),
 		}),
 		Applier: applier.New(applier.Config{Store: n.config.Store, Keeper: n.keeper, Clock: n.config.Clock}),
-		Store:   n.config.Store, Status: n, Logger: n.config.Logger,
+		Store:   n.config.Store, Keeper: n.keeper, Status: n, Logger: n.config.Logger,
 	})
 }
 
--- a/internal/node/assembler/path_benchmark_test.go
+++ b/internal/node/assembler/path_benchmark_test.go
@@ -199,8 +199,9 @@
 func nodeSettings(i int) *pb.NodeSettings {
 	s := &pb.NodeSettings{
 		NodeName: fmt.Sprintf("node-%d", i), AvailabilityZone: fmt.Sprintf("zone-%d", i), Region: "r",
-		CallerAddress: fmt.Sprintf("%s.%d.1:7400", pathAddress, i), OperatorAddress: fmt.Sprintf("%s.%d.1:7200", pathAddress, i),
-		PeerAddress: fmt.Sprintf("%s.%d.1:7300", pathAddress, i), FatalInvariants: true,
+		CallerAddress:   fmt.Sprintf("%s.%d.1:7400", pathAddress, i),
+		OperatorAddress: fmt.Sprintf("%s.%d.1:7200", pathAddress, i),
+		PeerAddress:     fmt.Sprintf("%s.%d.1:7300", pathAddress, i), FatalInvariants: true,
 	}
 	for j := 1; j <= pathNodes; j++ {
 		if j != i {
--- a/internal/operator/server/changes.go
+++ b/internal/operator/server/changes.go
@@ -7,7 +7,6 @@
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/operator/applier"
 	"github.com/magnoliastep/magnoliastep/internal/operator/authorizer"
-	"github.com/magnoliastep/magnoliastep/internal/result/coder"
 )
 
 // applyObject authorizes and makes one change of an object.
@@ -16,8 +15,8 @@
 	if err != nil {
 		return failed(r.GetChangeId(), err)
 	}
-	if err := checkApplicable(r.GetObject()); err != nil {
-		return failed(r.GetChangeId(), err)
+	if o := s.checkObject(ctx, r.GetChangeId(), r.GetObject()); o != nil {
+		return o
 	}
 	expected := r.GetExpectedVersion()
 	if actor == authorizer.BootstrapName {
@@ -35,6 +34,9 @@
 	if err != nil {
 		return failed(r.GetChangeId(), err)
 	}
+	if o := s.checkDeletion(ctx, r.GetChangeId(), r.GetKey()); o != nil {
+		return o
+	}
 	return s.apply(ctx, applier.Change{
 		ID: r.GetChangeId(), Actor: actor, Reason: r.GetReason(), ExpectedVersion: r.GetExpectedVersion(),
 		Key: r.GetKey(), Summary: "delete " + r.GetKey(),
@@ -48,15 +50,6 @@
 	return s.config.Authorizer.Authorize(header, pb.Role_ROLE_OPERATOR)
 }
 
-// checkApplicable rejects the kinds that only the system itself writes.
-func checkApplicable(o *pb.ConfigObject) error {
-	switch o.GetSpec().(type) {
-	case *pb.ConfigObject_Grant, *pb.ConfigObject_Page, *pb.ConfigObject_ChangeArchive:
-		return coder.New(pb.ResultCode_RESULT_CODE_INVALID_OBJECT, "%s is written by the system alone", keyer.Of(o))
-	}
-	return nil
-}
-
 // apply carries a change out and logs it.
 func (s *Server) apply(ctx context.Context, c applier.Change) *pb.ChangeOutcome {
 	outcome := s.config.Applier.Apply(ctx, c)
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -37,6 +37,12 @@
 		List(ctx context.Context, prefix string) (client.Listing, error)
 	}
 
+	// Keeper holds the configuration in force.
+	Keeper interface {
+		Objects() []*pb.ConfigObject
+		Apply(objects []*pb.ConfigObject, completeTo int64) []*pb.ConfigObject
+	}
+
 	// StatusSource describes this node.
 	StatusSource interface {
 		Status() *pb.GetStatusResponse
@@ -47,6 +53,7 @@
 		Authorizer Authorizer
 		Applier    Applier
 		Store      Store
+		Keeper     Keeper
 		Status     StatusSource
 		Logger     *slog.Logger
 	}
@@ -131,8 +138,7 @@
 		response.Message = err.Error()
 	case change == nil:
 		response.Code = pb.ResultCode_RESULT_CODE_NOT_FOUND
-		response.Message = "the change is not in the audit trail now; while its outcome is unknown, " +
-			"repeat it with the same change id to settle it"
+		response.Message = "the change is not in the audit trail now"
 	}
 	return connect.NewResponse(response), nil
 }
--- a/internal/operator/server/server_test.go
+++ b/internal/operator/server/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http/httptest"
 	"testing"
@@ -33,6 +34,7 @@
 	fixture struct {
 		client magnoliastepv1connect.OperatorServiceClient
 		keeper *keeper.Keeper
+		store  *client.Client
 	}
 
 	noStatus struct{}
@@ -54,13 +56,14 @@
 			Source: k, BootstrapHash: indexer.HashCredential("bootstrap-token"),
 		}),
 		Applier: applier.New(applier.Config{Store: store, Keeper: k, Clock: clock}),
-		Store:   store, Status: noStatus{}, Logger: slog.New(slog.DiscardHandler),
+		Store:   store, Keeper: k, Status: noStatus{}, Logger: slog.New(slog.DiscardHandler),
 	})
 	operators := httptest.NewServer(s.Handler())
 	t.Cleanup(operators.Close)
 	return &fixture{
 		client: magnoliastepv1connect.NewOperatorServiceClient(operators.Client(), operators.URL),
 		keeper: k,
+		store:  store,
 	}
 }
 
@@ -159,3 +162,62 @@
 	is.NoErr(err)
 	is.Equal(found.Msg.GetCode(), ok)
 }
+
+func director(name string) *pb.ConfigObject {
+	return operator(name, name, pb.Role_ROLE_DIRECTOR)
+}
+
+func service(name, zone string, directors ...string) *pb.ConfigObject {
+	return &pb.ConfigObject{Spec: &pb.ConfigObject_Service{Service: &pb.Service{
+		Name: name, PartitionCount: 1, Directors: directors, Leaves: []*pb.Leaf{{
+			Name: name + "-0", AvailabilityZone: zone, Address: "10.0.0.1:80", Slots: 1, ColdSlots: 1, Connections: 1,
+			Partitions: []uint32{0},
+		}},
+	}}}
+}
+
+func TestInvalidObjectsAreNotStored(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.apply(t, "bootstrap-token", "c1", operator("op", "op", pb.Role_ROLE_OPERATOR), 0)
+	o := f.apply(t, "op", "c2", service("desk", "zone-a", "dora"), 0)
+	is.Equal(o.GetCode(), invalid)
+	is.Equal(o.GetFieldErrors(), []string{
+		"leaves[0].availability_zone: availability_zone/zone-a does not exist",
+		"directors[0]: operator/dora does not exist",
+	})
+	is.Equal(f.keeper.Index().Service("desk"), nil)
+	page := &pb.ConfigObject{Spec: &pb.ConfigObject_Page{Page: &pb.Page{PageId: "p"}}}
+	is.Equal(f.apply(t, "op", "c3", page, 0).GetCode(), invalid) // kinds of the system itself
+	is.Equal(f.apply(t, "op", "c4", nil, 0).GetCode(), invalid)
+}
+
+func TestDeletingAReferencedObject(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.apply(t, "bootstrap-token", "c1", operator("op", "op", pb.Role_ROLE_OPERATOR), 0)
+	f.apply(t, "op", "c2", zone("zone-a"), 0)
+	f.apply(t, "op", "c3", director("dora"), 0)
+	is.Equal(f.apply(t, "op", "c4", service("desk", "zone-a", "dora"), 0).GetCode(), ok)
+	for _, key := range []string{"availability_zone/zone-a", "operator/dora"} {
+		o := f.remove(t, "op", "d-"+key, key)
+		is.Equal(o.GetCode(), invalid)
+		is.Equal(o.GetFieldErrors(), []string{"service/desk"}) // the referrers are named
+	}
+	is.Equal(f.remove(t, "op", "d1", "service/desk").GetCode(), ok)
+	is.Equal(f.remove(t, "op", "d2", "availability_zone/zone-a").GetCode(), ok)
+	is.Equal(f.remove(t, "op", "d1", "service/desk").GetCode(), ok) // a repeat is the same change
+	is.Equal(f.remove(t, "op", "d3", "nonsense").GetCode(), invalid)
+}
+
+func TestReferenceAcceptedAtAnotherNode(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.apply(t, "bootstrap-token", "c1", operator("op", "op", pb.Role_ROLE_OPERATOR), 0)
+	// Another node accepted the zone and the director; its news has not come here yet.
+	other := applier.New(applier.Config{Store: f.store, Keeper: keeper.New(keeper.Config{}), Clock: quartz.NewReal()})
+	for i, o := range []*pb.ConfigObject{zone("zone-a"), director("dora")} {
+		other.Apply(context.Background(), applier.Change{ID: fmt.Sprintf("o%d", i), ExpectedVersion: 0, Object: o})
+	}
+	is.Equal(f.apply(t, "op", "c2", service("desk", "zone-a", "dora"), 0).GetCode(), ok)
+}
