--- a/internal/command/controller/controller_test.go
+++ b/internal/command/controller/controller_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"connectrpc.com/connect"
@@ -25,6 +26,7 @@
 	fakeNode struct {
 		magnoliastepv1connect.UnimplementedOperatorServiceHandler
 
+		mutex   sync.Mutex
 		changes map[string]int
 	}
 )
@@ -32,7 +34,9 @@
 func (f *fakeNode) DeleteObject(
 	_ context.Context, r *connect.Request[pb.DeleteObjectRequest],
 ) (*connect.Response[pb.DeleteObjectResponse], error) {
+	f.mutex.Lock()
 	f.changes[r.Msg.GetChangeId()]++
+	f.mutex.Unlock()
 	outcome := &pb.ChangeOutcome{Code: pb.ResultCode_RESULT_CODE_OK, ChangeId: r.Msg.GetChangeId(), Version: 7}
 	return connect.NewResponse(&pb.DeleteObjectResponse{Outcome: outcome}), nil
 }
--- a/internal/command/controller/files_test.go
+++ b/internal/command/controller/files_test.go
@@ -47,7 +47,8 @@
 	}).Handler())
 	t.Cleanup(s.Close)
 	t.Setenv("STEPCTL_NODE", addressOf(s))
-	code, _, failures := run("", "--token", "bootstrap-token", "apply", "-f", demoFile, "--only", "operator", "--reason", "t")
+	code, _, failures := run("",
+		"--token", "bootstrap-token", "apply", "-f", demoFile, "--only", "operator", "--reason", "t")
 	is.New(t).Equal(failures, "")
 	is.New(t).Equal(code, 0)
 	t.Setenv("STEPCTL_TOKEN", "operator-1-token")
