Wire limit, queue and tenure into the lanes

Cause: lanes kept the leaf that they were created with, so a changed address, slots or removal did not reach them; submits polled the limiter past the queue; hopeless work was answered only when a slot came free; nothing kept two nodes from dispatching to one leaf; a drain that only answers show was forgotten at the next status reading.

Change: a lane follows the configuration (new address: new connections and cold; gone: its work is answered as lacking), has the weighted queue with a timer for hopeless work, takes submits through the same queue, dispatches only under a tenure and tells the leaf to stop at its end. Work waits while a promise has to be waited out, is passed on once to another owner and follows the owner when it moves. Leaves are handed over with limit, baseline and calls in flight. Draining by an answer, the status page or the list of VMs blocks new work; a zone that returns is cold. At most 16384 calls wait; beyond it batches stay in their streams. The default tenure is 1.5 s, below the suspicion of 2 s. Metrics magnoliastep_leaf_*.

How proved: go test ./internal/leaf/dispatcher (virtual time). Each of these mutations fails it: no new sender on a new address, draining by an answer ignored, hopeless work kept (hangs), passed on without end, calls in flight left out of a handover, dispatch without tenure, no cold start on return, no rerouting. test/demo.sh passes.

--- a/internal/leaf/dispatcher/lane.go
+++ b/internal/leaf/dispatcher/lane.go
@@ -2,20 +2,24 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
-	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
+	"github.com/coder/quartz"
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/limiter"
+	"github.com/magnoliastep/magnoliastep/internal/leaf/queuer"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/sender"
 	"github.com/magnoliastep/magnoliastep/internal/result/coder"
 )
 
 const (
-	statusTimeout    = time.Second
-	latencySmoothing = 0.1 // weight of the newest sample
-	submitPollPeriod = time.Millisecond
+	statusTimeout = time.Second
+	warmShare     = 10              // connect cost of a new connection is at most a tenth of the time
+	blockedGrace  = 5 * time.Second // after it no new work may reach a leaf that is out or draining
 )
 
 type (
@@ -23,40 +27,41 @@
 	lane struct {
 		dispatcher *Dispatcher
 		name       string
-		leaf       *pb.Leaf
-		sender     LeafSender
 		limiter    *limiter.Limiter
 		mutex      sync.Mutex
-		// queue has the jobs that wait for a slot, oldest first.
-		queue []*job
-		self  *pb.LeafSelf
+		// leaf is the configuration that sender and limiter follow.
+		leaf   *pb.Leaf
+		sender LeafSender
+		queue  *queuer.Queuer[*job]
+		// running has the time until which the leaf was told to work on each call in flight.
+		running map[*job]time.Time
+		// expiry fires when the most urgent job becomes hopeless; nil before the first job.
+		expiry *quartz.Timer
+		self   *pb.LeafSelf
 		// readAt is when self was read; zero before the first reading.
 		readAt    time.Time
 		reachable bool
-		latency   time.Duration
-	}
-
-	// job is one call that waits or runs.
-	job struct {
-		context    context.Context //nolint:containedctx // the job outlives the call that queued it
-		batch      *pb.LeafBatch
-		call       *pb.LeafCall
-		deadline   time.Time
-		enqueuedAt time.Time
-		// done is called exactly once.
-		done func(*pb.LeafReply)
+		// refusedDraining is set by an answer that says so. The status page may mislead, so it takes the
+		// mark back only after it has shown the draining itself.
+		refusedDraining bool
+		shownDraining   bool
+		// blockedSince is since when the leaf takes no new work; zero while it does.
+		blockedSince time.Time
+		// successor took the leaf over while calls were in flight; nil otherwise.
+		successor *pb.Member
+		meters    *meters
 	}
 )
 
-func newLane(d *Dispatcher, entry indexer.LeafEntry) *lane {
-	return &lane{
-		dispatcher: d,
-		name:       entry.Leaf.GetName(),
-		leaf:       entry.Leaf,
-		sender:     d.config.NewSender(entry.Leaf),
-		self:       &pb.LeafSelf{},
-		limiter:    limiter.New(limiter.Config{Bounds: boundsOf(entry.Leaf), Asserter: d.config.Asserter}),
+func newLane(d *Dispatcher, leaf *pb.Leaf) *lane {
+	l := &lane{
+		dispatcher: d, name: leaf.GetName(), leaf: leaf, sender: d.config.NewSender(leaf),
+		limiter: limiter.New(limiter.Config{Bounds: boundsOf(leaf), Asserter: d.config.Asserter}),
+		queue:   queuer.New[*job](), running: map[*job]time.Time{}, self: &pb.LeafSelf{},
 	}
+	l.meters = newMeters(d.config.Metrics, l)
+	l.warm(l.sender, leaf)
+	return l
 }
 
 func boundsOf(l *pb.Leaf) limiter.Bounds {
@@ -65,143 +70,191 @@
 	}
 }
 
+// configure follows a change of the leaf's configuration. A new address is a new process: cold.
+func (l *lane) configure(leaf *pb.Leaf) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.leaf == leaf {
+		return
+	}
+	before := l.leaf
+	l.leaf = leaf
+	l.limiter.Resize(boundsOf(leaf))
+	if before.GetAddress() == leaf.GetAddress() && before.GetConnections() == leaf.GetConnections() {
+		return
+	}
+	l.sender.Close()
+	l.sender = l.dispatcher.config.NewSender(leaf)
+	if before.GetAddress() != leaf.GetAddress() {
+		l.limiter.ResetToCold()
+		l.self = &pb.LeafSelf{}
+		l.refusedDraining, l.shownDraining = false, false
+	}
+	l.warm(l.sender, leaf)
+}
+
+// warm opens the connections that the limit may come to need, so that no call waits for one.
+func (l *lane) warm(s LeafSender, leaf *pb.Leaf) {
+	count := int(min(leaf.GetSlots()+1, leaf.GetConnections()))
+	pace := warmShare * leaf.GetConnectCost().AsDuration()
+	go s.Warm(context.Background(), count, pace)
+}
+
 func (l *lane) enqueue(j *job) {
 	l.mutex.Lock()
-	l.queue = append(l.queue, j)
+	j.handle = l.queue.Push(queuer.Item[*job]{
+		Class: j.class, Worth: j.worth, FullWorthUntil: j.fullWorthUntil, Deadline: j.deadline, Value: j,
+	})
+	j.unwatch = context.AfterFunc(j.context, func() { l.drop(j) })
 	l.mutex.Unlock()
 	l.dispatch()
 }
 
-// dispatch starts queued jobs while the limit allows it.
+// drop takes out a job whose reply is not wanted any more.
+func (l *lane) drop(j *job) {
+	l.mutex.Lock()
+	removed := l.queue.Remove(j.handle)
+	l.mutex.Unlock()
+	if removed {
+		<-l.dispatcher.room
+		j.finish(l.unsent(l.dispatcher.unsentCode(j)))
+	}
+}
+
+// dispatch starts queued jobs while tenure and limit allow it, and answers those that are hopeless.
 func (l *lane) dispatch() {
 	for {
-		j := l.next()
+		j, until, hopeless := l.next()
+		for _, h := range hopeless {
+			l.leave(h)
+			l.meters.expired.Inc()
+			h.finish(l.unsent(pb.ResultCode_RESULT_CODE_QUEUE_DEADLINE))
+		}
 		if j == nil {
 			return
 		}
-		go l.run(j)
+		l.leave(j)
+		go l.run(j, until)
 	}
 }
 
-// next takes a slot and the oldest job that can still make its deadline.
-func (l *lane) next() *job {
+// leave gives back what a job held while it waited.
+func (l *lane) leave(j *job) {
+	<-l.dispatcher.room
+	j.unwatch()
+}
+
+// next takes a slot for the next job. It also returns until when the leaf may work on it, and the jobs
+// that cannot finish in time.
+func (l *lane) next() (*job, time.Time, []*job) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for len(l.queue) > 0 {
-		j := l.queue[0]
-		if j.context.Err() != nil {
-			l.queue = l.queue[1:]
-			go l.finishUnsent(j)
-			continue
-		}
-		if !l.limiter.TryAcquire() {
-			return nil
-		}
-		l.queue = l.queue[1:]
-		return j
+	now := l.dispatcher.config.Clock.Now()
+	latency := l.limiter.Latency()
+	hopeless := l.queue.Hopeless(now, latency)
+	defer l.armLocked(now, latency)
+	if l.queue.Len() == 0 || l.blockedCode() != pb.ResultCode_RESULT_CODE_OK || !l.limiter.TryAcquire() {
+		return nil, time.Time{}, hopeless
+	}
+	// The tenure is read after the slot is taken, so that a handover counts this call.
+	until, ok := l.dispatcher.config.Tenure.Until(l.name)
+	var j *job
+	if ok {
+		j, ok = l.queue.Pop(now, latency)
+	}
+	if !ok {
+		l.limiter.Release(limiter.Result{Outcome: limiter.OutcomeCancelled, ForeignLoad: -1})
+		return nil, time.Time{}, hopeless
+	}
+	if j.deadline.Before(until) || j.call.Path == sender.PathSubmit {
+		until = j.deadline
 	}
-	return nil
+	l.running[j] = until
+	return j, until, hopeless
 }
 
-func (l *lane) finishUnsent(j *job) {
-	code := pb.ResultCode_RESULT_CODE_CANCELLED
-	if !l.dispatcher.config.Clock.Now().Before(j.deadline) {
-		code = pb.ResultCode_RESULT_CODE_QUEUE_DEADLINE
+// armLocked sets the timer for the next job that becomes hopeless.
+func (l *lane) armLocked(now time.Time, latency time.Duration) {
+	deadline, ok := l.queue.NextDeadline()
+	if !ok {
+		return
+	}
+	wait := max(time.Millisecond, deadline.Add(-latency).Sub(now)+time.Microsecond)
+	if l.expiry == nil {
+		l.expiry = l.dispatcher.config.Clock.AfterFunc(wait, l.dispatch)
+		return
 	}
-	j.done(l.reply(j, code, "", 0))
+	l.expiry.Reset(wait)
 }
 
-func (l *lane) run(j *job) {
+// run makes the call. The leaf is told to stop at the end of the tenure, so that nothing of this owner
+// runs under another.
+func (l *lane) run(j *job, until time.Time) {
 	clock := l.dispatcher.config.Clock
 	startedAt := clock.Now()
-	answer, err := l.sender.Send(j.context, sender.Call{
-		Path:      sender.PathSearch,
-		RequestID: j.batch.GetRequestId(),
-		Snapshot:  j.batch.GetSnapshot(),
-		Partition: j.call.GetPartition(),
-		Attempt:   j.call.GetAttempt(),
-		TimeLeft:  j.deadline.Sub(startedAt),
-		Body:      j.batch.GetQuery(),
-	})
-	latency := clock.Since(startedAt)
-	l.learn(answer, err, latency)
-	j.done(l.reply(j, coder.Of(err), answer.Payload, latency))
-	l.dispatch()
-}
-
-func (l *lane) submit(ctx context.Context, c *pb.SubmitCall) *pb.SubmitReply {
-	ctx, cancel := context.WithTimeout(ctx, c.GetTimeLeft().AsDuration())
+	l.assertUnblocked(startedAt)
+	l.meters.calls.Inc()
+	if j.call.Attempt > 1 {
+		l.meters.extraCalls.Inc()
+	}
+	l.mutex.Lock()
+	s := l.sender
+	others := l.limiter.InFlight() - 1
+	l.mutex.Unlock()
+	ctx, cancel := context.WithDeadline(j.context, until)
 	defer cancel()
-	reply := &pb.SubmitReply{RequestId: c.GetRequestId()}
-	if !l.acquire(ctx) {
-		reply.Code = pb.ResultCode_RESULT_CODE_NOT_RUN
-		reply.Message = "no slot at the leaf in time"
-		return reply
-	}
-	startedAt := l.dispatcher.config.Clock.Now()
-	deadline, _ := ctx.Deadline()
-	answer, err := l.sender.Send(ctx, sender.Call{
-		Path:      sender.PathSubmit,
-		RequestID: c.GetRequestId(),
-		Partition: c.GetPartition(),
-		Attempt:   1,
-		TimeLeft:  deadline.Sub(startedAt),
-		Body:      c.GetPayload(),
-	})
-	l.learn(answer, err, l.dispatcher.config.Clock.Since(startedAt))
+	j.call.TimeLeft = until.Sub(startedAt)
+	answer, err := s.Send(ctx, j.call)
+	o := outcome{code: coder.Of(err), answer: answer, latency: clock.Since(startedAt), sent: true}
+	if err != nil {
+		o.message = err.Error()
+	}
+	l.learn(j, o, others)
+	o.wait, o.expected = l.estimate()
+	j.finish(o)
 	l.dispatch()
-	fillSubmitReply(reply, answer, err)
-	return reply
 }
 
-// acquire waits for a slot. It returns false when the context ends first.
-func (l *lane) acquire(ctx context.Context) bool {
-	ticker := l.dispatcher.config.Clock.NewTicker(submitPollPeriod)
-	defer ticker.Stop()
-	for !l.limiter.TryAcquire() {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-ticker.C:
-		}
+// learn releases the slot and updates what is known of the leaf.
+func (l *lane) learn(j *job, o outcome, others int) {
+	result := limiter.Result{Outcome: outcomeOf(o.code), Latency: o.latency, ForeignLoad: -1}
+	if result.Outcome == limiter.OutcomeTimeout && l.dispatcher.config.Clock.Now().Before(j.deadline) {
+		result.Outcome = limiter.OutcomeCancelled // the tenure ended, not the caller's time
 	}
-	return true
-}
-
-func fillSubmitReply(reply *pb.SubmitReply, answer sender.Answer, err error) {
-	switch {
-	case err == nil:
-		reply.Code = pb.ResultCode_RESULT_CODE_OK
-		reply.Payload = answer.Payload
-	case answer.NotRun:
-		reply.Code = pb.ResultCode_RESULT_CODE_NOT_RUN
-		reply.Message = err.Error()
-	default:
-		reply.Code = pb.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN
-		reply.Message = err.Error()
+	if o.code == pb.ResultCode_RESULT_CODE_LEAF_SHED {
+		l.meters.sheds.Inc()
 	}
-}
-
-// learn releases the slot and updates what is known of the leaf.
-func (l *lane) learn(a sender.Answer, err error, latency time.Duration) {
-	l.limiter.Release(limiter.Result{Outcome: outcomeOf(err), Latency: latency, ForeignLoad: -1})
+	if o.answer.Incarnation != "" {
+		result.ForeignLoad = max(0, o.answer.Load-others)
+	}
+	l.limiter.Release(result)
 	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if err == nil {
-		l.latency = smooth(l.latency, latency)
+	delete(l.running, j)
+	successor := l.successor
+	if len(l.running) > 0 {
+		successor = nil
 	}
-	if a.Incarnation == "" {
-		return
+	if o.answer.Incarnation != "" {
+		l.noteIncarnationLocked(o.answer.Incarnation)
+		l.refusedDraining = l.refusedDraining || o.answer.Draining
 	}
-	if l.self.GetIncarnation() != "" && l.self.GetIncarnation() != a.Incarnation {
+	l.mutex.Unlock()
+	if successor != nil {
+		go l.dispatcher.sendHandover(context.Background(), successor, &pb.LeafState{Leaf: l.name})
+	}
+}
+
+func (l *lane) noteIncarnationLocked(incarnation string) {
+	before := l.self.GetIncarnation()
+	if before != "" && before != incarnation {
 		l.limiter.ResetToCold()
+		l.refusedDraining, l.shownDraining = false, false
 	}
-	l.self.Incarnation = a.Incarnation
-	l.self.Draining = a.Draining
+	l.self.Incarnation = incarnation
 }
 
-func outcomeOf(err error) limiter.Outcome {
-	switch coder.Of(err) {
+func outcomeOf(code pb.ResultCode) limiter.Outcome {
+	switch code {
 	case pb.ResultCode_RESULT_CODE_OK:
 		return limiter.OutcomeSuccess
 	case pb.ResultCode_RESULT_CODE_LEAF_SHED:
@@ -210,74 +263,154 @@
 		return limiter.OutcomeTimeout
 	case pb.ResultCode_RESULT_CODE_LEAF_UNREACHABLE:
 		return limiter.OutcomeRefused
-	case pb.ResultCode_RESULT_CODE_CANCELLED, pb.ResultCode_RESULT_CODE_WRONG_SNAPSHOT:
+	case pb.ResultCode_RESULT_CODE_CANCELLED, pb.ResultCode_RESULT_CODE_WRONG_SNAPSHOT,
+		pb.ResultCode_RESULT_CODE_LEAF_DRAINING:
 		return limiter.OutcomeCancelled
 	default:
 		return limiter.OutcomeFailure
 	}
 }
 
-func smooth(average, sample time.Duration) time.Duration {
-	if average == 0 {
-		return sample
-	}
-	return average + time.Duration(latencySmoothing*float64(sample-average))
-}
-
-// refresh reads the leaf's status page.
+// refresh reads the leaf's status page. It may lower the trust in the leaf, never raise it.
 func (l *lane) refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	self, err := l.sender.Status(ctx)
+	l.mutex.Lock()
+	s := l.sender
+	l.mutex.Unlock()
+	self, err := s.Status(ctx)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.reachable = err == nil
 	if err != nil {
 		return
 	}
-	if before := l.self.GetIncarnation(); before != "" && before != self.GetIncarnation() {
-		l.limiter.ResetToCold()
+	l.noteIncarnationLocked(self.GetIncarnation())
+	if l.shownDraining && !self.GetDraining() {
+		l.refusedDraining = false
 	}
+	l.shownDraining = self.GetDraining()
 	l.self = self
 	l.readAt = l.dispatcher.config.Clock.Now()
 }
 
+// blockedCode says why the leaf takes no new work, or OK.
+func (l *lane) blockedCode() pb.ResultCode {
+	d := l.dispatcher
+	if !d.config.Source.Index().ZoneInService(l.leaf.GetAvailabilityZone()) {
+		return pb.ResultCode_RESULT_CODE_ZONE_OUT
+	}
+	if l.refusedDraining || l.self.GetDraining() || d.vmLeaves(l.leaf.GetAddress()) {
+		return pb.ResultCode_RESULT_CODE_LEAF_DRAINING
+	}
+	return pb.ResultCode_RESULT_CODE_OK
+}
+
+func (d *Dispatcher) vmLeaves(address string) bool {
+	if d.config.VMs == nil {
+		return false
+	}
+	ip, _, _ := net.SplitHostPort(address)
+	return d.config.VMs.LeavingVM(ip)
+}
+
+// observeBlocked notes when the leaf began to take no new work, answers the jobs that wait for it, and
+// starts from cold when it takes work again.
+func (l *lane) observeBlocked() {
+	l.mutex.Lock()
+	code := l.blockedCode()
+	blocked := code != pb.ResultCode_RESULT_CODE_OK
+	switch {
+	case blocked && l.blockedSince.IsZero():
+		l.blockedSince = l.dispatcher.config.Clock.Now()
+	case !blocked && !l.blockedSince.IsZero():
+		l.blockedSince = time.Time{}
+		l.limiter.ResetToCold()
+	}
+	l.mutex.Unlock()
+	if !blocked {
+		return
+	}
+	for _, j := range l.drain() {
+		j.finish(l.unsent(code))
+	}
+}
+
+func (l *lane) assertUnblocked(now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	blockedFor := now.Sub(l.blockedSince)
+	late := !l.blockedSince.IsZero() && blockedFor > blockedGrace
+	name := "no_new_work_to_draining_leaf"
+	if !l.dispatcher.config.Source.Index().ZoneInService(l.leaf.GetAvailabilityZone()) {
+		name = "no_new_work_to_zone_out"
+	}
+	l.dispatcher.config.Asserter.Check(!late, name, "leaf", l.name, "blocked_for", blockedFor)
+}
+
+// drain takes all jobs out of the queue.
+func (l *lane) drain() []*job {
+	l.mutex.Lock()
+	jobs := l.queue.Drain()
+	l.mutex.Unlock()
+	for _, j := range jobs {
+		l.leave(j)
+	}
+	return jobs
+}
+
+// idle tells whether nothing waits and nothing is in flight.
+func (l *lane) idle() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.queue.Len() == 0 && len(l.running) == 0
+}
+
+// close ends the lane of a leaf that is not configured any more.
+func (l *lane) close() {
+	for _, j := range l.drain() {
+		j.finish(l.unsent(pb.ResultCode_RESULT_CODE_NO_REPLICA))
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.expiry != nil {
+		l.expiry.Stop()
+	}
+	l.sender.Close()
+	l.meters.close()
+}
+
+func (l *lane) unsent(code pb.ResultCode) outcome {
+	o := outcome{code: code}
+	o.wait, o.expected = l.estimate()
+	return o
+}
+
+// estimate returns the time that a new call would wait and the time that it would take at the leaf.
+func (l *lane) estimate() (wait, latency time.Duration) {
+	l.mutex.Lock()
+	waiting := l.queue.Len()
+	l.mutex.Unlock()
+	latency = l.limiter.Latency()
+	return time.Duration(float64(latency) * float64(waiting) / l.limiter.Limit()), latency
+}
+
 func (l *lane) status() *pb.LeafStatus {
+	wait, latency := l.estimate()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	limit := l.limiter.Limit()
 	return &pb.LeafStatus{
 		Leaf:            l.name,
 		Snapshots:       l.self.GetSnapshots(),
-		Draining:        l.self.GetDraining(),
+		Draining:        l.blockedCode() == pb.ResultCode_RESULT_CODE_LEAF_DRAINING,
 		Reachable:       l.reachable,
 		Incarnation:     l.self.GetIncarnation(),
-		ExpectedWait:    duration(l.expectedWait(limit)),
-		ExpectedLatency: duration(l.latency),
-		Limit:           limit,
+		ExpectedWait:    durationpb.New(wait),
+		ExpectedLatency: durationpb.New(latency),
+		Limit:           l.limiter.Limit(),
 		InFlight:        uint32(l.limiter.InFlight()),
 		Cold:            l.limiter.Cold(),
 		Owner:           l.dispatcher.config.NodeName,
-		Age:             duration(l.dispatcher.config.Clock.Since(l.readAt)),
-	}
-}
-
-func (l *lane) expectedWait(limit float64) time.Duration {
-	return time.Duration(float64(l.latency) * float64(len(l.queue)) / limit)
-}
-
-func (l *lane) reply(j *job, code pb.ResultCode, payload string, latency time.Duration) *pb.LeafReply {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return &pb.LeafReply{
-		CallId:          j.call.GetCallId(),
-		Code:            code,
-		Snapshot:        j.batch.GetSnapshot(),
-		Partition:       j.call.GetPartition(),
-		Payload:         payload,
-		RequestId:       j.batch.GetRequestId(),
-		ExpectedWait:    duration(l.expectedWait(l.limiter.Limit())),
-		ExpectedLatency: duration(l.latency),
-		LeafLatency:     duration(latency),
+		Age:             durationpb.New(l.dispatcher.config.Clock.Since(l.readAt)),
 	}
 }
--- a/internal/node/assembler/frames.go
+++ b/internal/node/assembler/frames.go
@@ -24,6 +24,12 @@
 	case *pb.Frame_ConfigPull:
 		delta := &pb.ConfigDelta{Objects: n.keeper.NewerThan(body.ConfigPull.GetVersions())}
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ConfigDelta{ConfigDelta: delta}})
+	case *pb.Frame_TenureRequest:
+		r := n.dispatcher.HandleTenureRequest(f.GetFrom(), body.TenureRequest)
+		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_TenureReply{TenureReply: r}})
+	case *pb.Frame_LeafHandover:
+		r := n.dispatcher.HandleHandover(f.GetFrom(), body.LeafHandover)
+		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_Acknowledgement{Acknowledgement: r}})
 	case *pb.Frame_LeafStatusPull:
 		statuses := &pb.LeafStatuses{Statuses: n.dispatcher.Statuses()}
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_LeafStatuses{LeafStatuses: statuses}})
--- a/internal/node/assembler/leafside.go
+++ b/internal/node/assembler/leafside.go
@@ -4,6 +4,12 @@
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/dispatcher"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/sender"
+	"github.com/magnoliastep/magnoliastep/internal/peer/router"
+	"github.com/magnoliastep/magnoliastep/internal/view/tenant"
+)
+
+const (
+	tenurePeriods = 10 // looks at the tenures within one tenure
 )
 
 // assembleLeafSide builds what serves the leaves that this node owns.
@@ -17,9 +23,17 @@
 			})
 		}
 	}
+	name := n.config.Settings.GetNodeName()
+	t := n.config.Settings.GetTimings()
 	n.dispatcher = dispatcher.New(dispatcher.Config{
-		NodeName: n.config.Settings.GetNodeName(), Source: n.keeper, Owners: n.placer, Clock: n.config.Clock,
-		Asserter: n.asserter, Logger: n.config.Logger, NewSender: newSender,
-		StatusPeriod: n.config.Settings.GetTimings().GetLeafStatusPeriod().AsDuration(),
+		NodeName: name, Source: n.keeper, Ranks: n.placer, Peers: n.messenger,
+		Tenure: tenant.New(tenant.Config{
+			NodeName: name, Ranks: n.placer, Clock: n.config.Clock, Tenure: t.GetTenure().AsDuration(),
+			Asserter: n.asserter,
+		}),
+		Forwarder: router.New(router.Config{NodeName: name, Messenger: n.messenger}),
+		Clock:     n.config.Clock, Asserter: n.asserter, Logger: n.config.Logger, Metrics: n.metrics,
+		NewSender: newSender, StatusPeriod: t.GetLeafStatusPeriod().AsDuration(),
+		TenurePeriod: t.GetTenure().AsDuration() / tenurePeriods,
 	})
 }
--- a/internal/settings/filler/filler.go
+++ b/internal/settings/filler/filler.go
@@ -19,7 +19,7 @@
 	defaultSuspicionPeriod  = 2 * time.Second
 	defaultEntriesKeepFor   = 5 * time.Second
 	defaultStopDeadline     = 30 * time.Second
-	defaultTenure           = 2 * time.Second
+	defaultTenure           = 1500 * time.Millisecond
 	defaultListPeriod       = 5 * time.Second
 	defaultRepairPeriod     = 2 * time.Second
 	defaultLeafStatusPeriod = 500 * time.Millisecond
--- a/internal/view/tenant/tenant.go
+++ b/internal/view/tenant/tenant.go
@@ -305,6 +305,10 @@
 func (t *Tenant) tickLeafLocked(leaf string, now time.Time, due *batches) {
 	ranked := t.config.Ranks.Ranked(leaf)
 	c := t.claims[leaf]
+	if t.leaving && c != nil && now.Before(c.until) {
+		t.holdAloneLocked(c, now) // nobody is left to take the leaf over
+		return
+	}
 	if t.leaving || len(ranked) == 0 || ranked[0].GetName() != t.config.NodeName {
 		if c != nil && now.Sub(c.clearedAt) > t.strangerTime() {
 			delete(t.claims, leaf)
@@ -315,13 +319,7 @@
 		c = &claim{}
 		t.claims[leaf] = c
 	}
-	if c.firstSince.IsZero() {
-		c.firstSince = now
-		c.cleared = c.cleared || t.promisedLatelyLocked(leaf, now)
-	}
-	if now.Sub(c.firstSince) >= t.strangerTime() {
-		c.cleared = true
-	}
+	t.waitLocked(c, leaf, now)
 	if t.promises[leaf].active(now) {
 		return
 	}
@@ -336,6 +334,18 @@
 	due.add(ranked[1+c.unanswered%(len(ranked)-1)], leaf, c, now)
 }
 
+// waitLocked notes since when this node is first, and ends its wait once no right that it does not know of
+// can be left.
+func (t *Tenant) waitLocked(c *claim, leaf string, now time.Time) {
+	if c.firstSince.IsZero() {
+		c.firstSince = now
+		c.cleared = c.cleared || t.promisedLatelyLocked(leaf, now)
+	}
+	if now.Sub(c.firstSince) >= t.strangerTime() {
+		c.cleared = true
+	}
+}
+
 // holdAloneLocked lets the only node of the view dispatch once it has been alone, and awake, for as long
 // as a promise lasts.
 func (t *Tenant) holdAloneLocked(c *claim, now time.Time) {
