--- a/internal/leaf/limiter/latency.go
+++ b/internal/leaf/limiter/latency.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	windowSamples   = 32
-	baselineFalling = 0.2   // weight of a median below the baseline
-	baselineRising  = 0.002 // weight of a median above the baseline
+	windowSamples   = 64
+	learningMedians = 256    // medians whose plain mean is the first baseline
+	baselineFalling = 0.002  // weight of a median below the baseline
+	baselineRising  = 0.0005 // weight of a median above the baseline; little, or overload became the baseline
 )
 
 type (
@@ -20,6 +21,8 @@
 		// baseline is zero until the first full window.
 		baseline time.Duration
 		median   time.Duration
+		// medians counts those that the baseline has seen, up to learningMedians.
+		medians int
 	}
 )
 
@@ -37,14 +40,15 @@
 }
 
 func (w *latencyWindow) moveBaseline() {
-	switch {
-	case w.baseline == 0:
-		w.baseline = w.median
-	case w.median < w.baseline:
-		w.baseline -= time.Duration(baselineFalling * float64(w.baseline-w.median))
-	default:
-		w.baseline += time.Duration(baselineRising * float64(w.median-w.baseline))
+	weight := baselineRising
+	if w.median < w.baseline {
+		weight = baselineFalling
 	}
+	if w.medians < learningMedians {
+		w.medians++
+		weight = 1 / float64(w.medians)
+	}
+	w.baseline += time.Duration(weight * float64(w.median-w.baseline))
 }
 
 // gradient returns 1 while the latency is near the baseline, less when it is above.
--- a/internal/leaf/limiter/limiter.go
+++ b/internal/leaf/limiter/limiter.go
@@ -183,7 +183,7 @@
 	if l.cold {
 		l.limit = min(l.limit, float64(l.coldSlots()))
 	}
-	l.latency = latencyWindow{baseline: s.Baseline}
+	l.latency = latencyWindow{baseline: s.Baseline, medians: learningMedians}
 	l.successes = 0
 }
 
--- a/internal/leaf/limiter/limiter_test.go
+++ b/internal/leaf/limiter/limiter_test.go
@@ -140,6 +140,16 @@
 	is.Equal(l.Limit(), 6.0)
 }
 
+func TestLatencyAboveTheBaselineLowersTheLimit(t *testing.T) {
+	is := is.New(t)
+	l := newLimiter(6, 50, 2)
+	serve(l, 400, fast)
+	is.Equal(l.Limit(), 6.0)
+	serve(l, 200, 3*fast)
+	is.True(l.Limit() < 6)
+	is.True(!l.Cold())
+}
+
 // A leaf that bears its cold slots only for a long time fails each try above them. The number of
 // failures must stay logarithmic in the number of calls.
 func TestFailuresOfALongColdLeafAreFew(t *testing.T) {
