Split the searcher and add hedges, retries and budgets

Cause: the searcher scanned every leaf for each partition, made one call a partition and waited for all of them until the deadline; one straggler or lost replica made the answer late or partial.

--- /dev/null
+++ b/internal/entry/merger/merger_test.go
@@ -0,0 +1,90 @@
+package merger_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/magnoliastep/magnoliastep/internal/entry/merger"
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
+)
+
+const (
+	snapshot  = 4
+	requestID = "request"
+)
+
+func reply(id uint64, partition uint32) *pb.LeafReply {
+	return &pb.LeafReply{
+		CallId: id, Code: pb.ResultCode_RESULT_CODE_OK, Partition: partition, RequestId: requestID, Snapshot: snapshot,
+		Payload: fmt.Sprint(partition),
+	}
+}
+
+func TestReplyThatArrivesTwiceIsMergedOnce(t *testing.T) {
+	is := is.New(t)
+	m := merger.New(merger.Config{RequestID: requestID, Snapshot: snapshot, Partitions: []uint32{2, 5}})
+	m.Expect(merger.Call{ID: 1, Position: 1, Number: 1})
+	m.Expect(merger.Call{ID: 2, Position: 1, Number: 2})
+	_, _, first := m.Add(reply(2, 5))
+	is.Equal(first, merger.VerdictMerged)
+	is.Equal(m.OpenCount(1), 1)
+	_, _, again := m.Add(reply(2, 5))
+	is.Equal(again, merger.VerdictIgnored)
+	is.Equal(m.OpenCount(1), 1) // the duplicate closes no other call
+	m.Close(1, func(c merger.Call) { is.Equal(c.ID, uint64(1)) })
+	_, _, late := m.Add(reply(1, 5))
+	is.Equal(late, merger.VerdictIgnored)
+	a := m.Answer(pb.ResultCode_RESULT_CODE_ANSWERED_EARLY)
+	is.Equal(a.GetCoverage().GetIncluded(), []uint32{5})
+	is.Equal(a.GetCoverage().GetLacking()[0].GetReason(), pb.ResultCode_RESULT_CODE_NO_REPLICA)
+	is.Equal(a.GetCode(), pb.ResultCode_RESULT_CODE_PARTIAL)
+}
+
+// TestMergerKeepsItsInvariants feeds replies that are right, crossed, of other snapshots, doubled and
+// late; the invariants inside the merger judge.
+func TestMergerKeepsItsInvariants(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		a := asserter.New(asserter.Config{})
+		partitions := []uint32{0, 3, 4, 9}
+		m := merger.New(merger.Config{RequestID: requestID, Snapshot: snapshot, Partitions: partitions, Asserter: a})
+		var calls []merger.Call
+		rt.Repeat(map[string]func(*rapid.T){
+			"call": func(rt *rapid.T) {
+				position := rapid.IntRange(0, len(partitions)-1).Draw(rt, "position")
+				c := merger.Call{ID: uint64(len(calls) + 1), Position: position, Number: m.Made(position) + 1}
+				calls = append(calls, c)
+				m.Expect(c)
+			},
+			"reply": func(rt *rapid.T) {
+				id := rapid.Uint64Range(0, uint64(len(calls)+1)).Draw(rt, "id")
+				r := reply(id, rapid.SampledFrom(partitions).Draw(rt, "partition"))
+				r.Snapshot = rapid.Uint64Range(snapshot-1, snapshot+1).Draw(rt, "snapshot")
+				r.RequestId = rapid.SampledFrom([]string{requestID, "other"}).Draw(rt, "request_id")
+				m.Add(r)
+			},
+			"close": func(rt *rapid.T) {
+				m.Close(rapid.IntRange(0, len(partitions)-1).Draw(rt, "position"), func(merger.Call) {})
+			},
+			"": func(rt *rapid.T) {
+				answer := m.Answer(pb.ResultCode_RESULT_CODE_ANSWERED_EARLY)
+				for i, p := range answer.GetParts() {
+					if p.GetPayload() != fmt.Sprint(p.GetPartition()) || answer.GetCoverage().GetIncluded()[i] != p.GetPartition() {
+						rt.Fatalf("part %v is not that of its partition", p)
+					}
+				}
+				for i := range partitions {
+					if m.OpenCount(i) < 0 || m.OpenCount(i) > int(m.Made(i)) {
+						rt.Fatalf("open calls: %d of %d", m.OpenCount(i), m.Made(i))
+					}
+				}
+				if a.Violations() > 0 {
+					rt.Fatalf("%v", a.ViolationsByName())
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/entry/recorder/recorder.go
@@ -0,0 +1,101 @@
+// Package recorder counts what the entry side did for its callers. Finished searches and extra calls
+// flow in; counters and histograms in the node's metrics set flow out, by service and class.
+package recorder
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+)
+
+type (
+	// Config holds what a Recorder needs.
+	Config struct {
+		Metrics *metrics.Set
+	}
+
+	// Recorder writes metrics. It is safe for concurrent use.
+	Recorder struct {
+		set   *metrics.Set
+		mutex sync.Mutex
+		// series has the metrics of each service and class that was seen.
+		series map[[2]string]*Series
+	}
+
+	// Series are the metrics of one service and class.
+	Series struct {
+		set         *metrics.Set
+		labels      string
+		FirstCalls  *metrics.Counter
+		Hedges      *metrics.Counter
+		HedgesWon   *metrics.Counter
+		Retries     *metrics.Counter
+		Restarts    *metrics.Counter
+		RestartSent *metrics.Counter
+		Cancelled   *metrics.Counter
+		Denied      *metrics.Counter
+		Replies     *metrics.Counter
+		Ignored     *metrics.Counter
+		worth       *metrics.FloatCounter
+		possible    *metrics.FloatCounter
+		latency     *metrics.Histogram
+		coverage    *metrics.Histogram
+	}
+)
+
+// New returns a Recorder. Without a set it records into one of its own.
+func New(c Config) *Recorder {
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	return &Recorder{set: c.Metrics, series: map[[2]string]*Series{}}
+}
+
+// Series returns the metrics of the service and class.
+func (r *Recorder) Series(service, class string) *Series {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	key := [2]string{service, class}
+	s := r.series[key]
+	if s == nil {
+		s = newSeries(r.set, service, class)
+		r.series[key] = s
+	}
+	return s
+}
+
+func newSeries(set *metrics.Set, service, class string) *Series {
+	labels := fmt.Sprintf("service=%q,class=%q", service, class)
+	counter := func(name string) *metrics.Counter {
+		return set.GetOrCreateCounter("magnoliastep_search_" + name + "_total{" + labels + "}")
+	}
+	return &Series{
+		set: set, labels: labels,
+		FirstCalls: counter("first_calls"), Hedges: counter("hedges"), HedgesWon: counter("hedges_won"),
+		Retries: counter("retries"), Restarts: counter("restarts"), RestartSent: counter("restart_calls"),
+		Cancelled: counter("cancelled_calls"), Denied: counter("extra_calls_denied"),
+		Replies: counter("leaf_replies"), Ignored: counter("ignored_replies"),
+		worth:    set.GetOrCreateFloatCounter("magnoliastep_search_worth_delivered_total{" + labels + "}"),
+		possible: set.GetOrCreateFloatCounter("magnoliastep_search_worth_possible_total{" + labels + "}"),
+		latency:  set.GetOrCreateHistogram("magnoliastep_search_seconds{" + labels + "}"),
+		coverage: set.GetOrCreateHistogram("magnoliastep_search_coverage{" + labels + "}"),
+	}
+}
+
+// Answered records one finished search.
+func (s *Series) Answered(a *pb.SearchAnswer, elapsed time.Duration, worth, possible float64) {
+	s.set.GetOrCreateCounter(
+		fmt.Sprintf("magnoliastep_search_answers_total{%s,code=%q}", s.labels, a.GetCode())).Inc()
+	for _, l := range a.GetCoverage().GetLacking() {
+		s.set.GetOrCreateCounter(
+			fmt.Sprintf("magnoliastep_search_lacking_total{%s,reason=%q}", s.labels, l.GetReason())).Inc()
+	}
+	s.worth.Add(worth)
+	s.possible.Add(possible)
+	s.latency.Update(elapsed.Seconds())
+	s.coverage.Update(float64(len(a.GetCoverage().GetIncluded())) / float64(max(1, a.GetCoverage().GetAsked())))
+}
--- /dev/null
+++ b/internal/entry/searcher/plan_bench_test.go
@@ -0,0 +1,98 @@
+package searcher_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/coder/quartz"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/magnoliastep/magnoliastep/internal/entry/cataloger"
+	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+)
+
+const (
+	manyPartitions = 2166 // of 3 replicas: 6,498 leaves
+	askedParts     = 71
+)
+
+type (
+	// instantRouter answers every call at once, so that only the entry's own work is measured.
+	instantRouter struct{ *bed }
+)
+
+func (r instantRouter) StartBatch(_ context.Context, _ *pb.Member, b *pb.LeafBatch, deliver func(*pb.LeafReply)) {
+	for _, c := range b.GetCalls() {
+		deliver(&pb.LeafReply{
+			CallId: c.GetCallId(), Code: pb.ResultCode_RESULT_CODE_OK, Snapshot: b.GetSnapshot(),
+			Partition: c.GetPartition(), RequestId: b.GetRequestId(), Payload: "payload",
+		})
+	}
+}
+
+func (r instantRouter) Cancel(context.Context, *pb.Member, []uint64) {}
+
+func bigBed() *bed {
+	return newBed(bedConfig{
+		seed: 1, partitions: manyPartitions, replicas: 3, slots: 4, budget: 0.05, class: waitingClass(),
+	})
+}
+
+// BenchmarkSearch is one search over 71 partitions of a service with 6,498 leaves.
+func BenchmarkSearch(b *testing.B) {
+	fake := bigBed()
+	for _, l := range fake.leaves {
+		l.status.ExpectedLatency = durationpb.New(5)
+	}
+	s := searcher.New(searcher.Config{
+		Source: fake, Owners: ownerCache(fake), Statuses: fake, Router: instantRouter{fake},
+		Clock: quartz.NewReal(), Asserter: fake.asserter,
+	})
+	asked := make([]uint32, 0, askedParts)
+	for range askedParts {
+		asked = append(asked, uint32(rand.IntN(manyPartitions)))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		a, err := s.Search(context.Background(), fake.caller, &pb.SearchRequest{
+			Service: serviceName, Class: className, RequestId: "id", Partitions: asked,
+		})
+		if err != nil || a.GetCode() != pb.ResultCode_RESULT_CODE_OK {
+			b.Fatal(a, err)
+		}
+	}
+	calls := float64(b.N) * askedParts
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/calls, "ns/leaf-call")
+}
+
+// BenchmarkCatalogRebuild is one rebuild of the index of 6,498 leaves.
+func BenchmarkCatalogRebuild(b *testing.B) {
+	fake := bigBed()
+	c := cataloger.New(cataloger.Config{Statuses: fake, Clock: quartz.NewReal()})
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(c.Layouts(fake.index, serviceName)) != 1 {
+			b.Fatal("no layout")
+		}
+	}
+}
+
+type cachedOwners map[string]*pb.Member
+
+func (c cachedOwners) Owner(leaf string) *pb.Member { return c[leaf] }
+
+func ownerCache(b *bed) cachedOwners {
+	owners := cachedOwners{}
+	members := map[string]*pb.Member{}
+	for n, l := range b.leaves {
+		zone := fmt.Sprint(l.leaf.GetAvailabilityZone())
+		if members[zone] == nil {
+			members[zone] = &pb.Member{Name: zone}
+		}
+		owners[n] = members[zone]
+	}
+	return owners
+}
--- a/internal/entry/searcher/searcher.go
+++ b/internal/entry/searcher/searcher.go
@@ -1,22 +1,41 @@
-// Package searcher answers searches. A checked request flows in; the searcher pins one snapshot, picks
-// a replica for each partition, sends the calls to the owners of the replicas and merges what comes back
-// until the answer is complete or its time is over. Coverage states exactly what was merged.
+// Package searcher answers searches. A checked request flows in; the searcher pins one snapshot, sends
+// a call for each partition to the owner of a replica and merges what comes back, with hedges and
+// retries within the service's budget, until the answer is complete or waiting on would lose more than
+// it brings. The decisions are made by packages of their own; this one runs them, each query on one
+// goroutine.
 package searcher
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/coder/quartz"
 	"github.com/google/uuid"
 
 	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
+	"github.com/magnoliastep/magnoliastep/internal/entry/answerer"
+	"github.com/magnoliastep/magnoliastep/internal/entry/budgeter"
+	"github.com/magnoliastep/magnoliastep/internal/entry/cataloger"
+	"github.com/magnoliastep/magnoliastep/internal/entry/estimator"
+	"github.com/magnoliastep/magnoliastep/internal/entry/hedger"
+	"github.com/magnoliastep/magnoliastep/internal/entry/picker"
+	"github.com/magnoliastep/magnoliastep/internal/entry/recorder"
+	"github.com/magnoliastep/magnoliastep/internal/entry/valuer"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
-	"github.com/magnoliastep/magnoliastep/internal/peer/router"
 	"github.com/magnoliastep/magnoliastep/internal/result/coder"
 )
 
+const (
+	catalogRefresh = 200 * time.Millisecond
+	shortestMargin = time.Millisecond
+	longestMargin  = 20 * time.Millisecond
+	marginDivisor  = 20
+)
+
 type (
 	// ConfigSource returns the configuration in force.
 	ConfigSource interface {
@@ -40,6 +59,11 @@
 		Cancel(ctx context.Context, owner *pb.Member, ids []uint64)
 	}
 
+	// Hedger says how old an open call is when a second one is made.
+	Hedger interface {
+		Delay(q hedger.Quantiles, share float64) (time.Duration, bool)
+	}
+
 	// Config holds what a Searcher needs.
 	Config struct {
 		Source   ConfigSource
@@ -48,29 +72,48 @@
 		Router   Router
 		Clock    quartz.Clock
 		Asserter *asserter.Asserter
+		// Hedger decides when to hedge; nil means by the measured quantile.
+		Hedger Hedger
+		// Recorder may be nil.
+		Recorder *recorder.Recorder
+		// Random returns seeds for the choice of replicas; nil means the runtime's source.
+		Random func() uint64
 	}
 
 	// Searcher answers searches. It is safe for concurrent use.
 	Searcher struct {
-		config Config
+		config    Config
+		cataloger *cataloger.Cataloger
+		mutex     sync.Mutex
+		// lines has one line for each service that was asked for.
+		lines map[string]*line
 	}
 
-	// plan is what one search will do.
-	plan struct {
-		request  *pb.SearchRequest
-		class    *pb.Class
-		service  *pb.Service
-		index    *indexer.Index
-		snapshot uint64
-		// partitions are those asked for, in ascending order, each once.
-		partitions []uint32
-		deadline   time.Time
+	// line is what all queries to one service share.
+	line struct {
+		budgeter  *budgeter.Budgeter
+		estimator *estimator.Estimator
 	}
 )
 
 // New returns a Searcher.
 func New(c Config) *Searcher {
-	return &Searcher{config: c}
+	if c.Hedger == nil {
+		c.Hedger = hedger.New(hedger.Config{})
+	}
+	if c.Recorder == nil {
+		c.Recorder = recorder.New(recorder.Config{})
+	}
+	if c.Random == nil {
+		c.Random = rand.Uint64
+	}
+	return &Searcher{
+		config: c,
+		cataloger: cataloger.New(cataloger.Config{
+			Statuses: c.Statuses, Clock: c.Clock, Refresh: catalogRefresh,
+		}),
+		lines: map[string]*line{},
+	}
 }
 
 // Search answers the request. Rejections come back as coded errors; every other outcome is an answer
@@ -91,184 +134,80 @@
 	if timeLeft <= 0 {
 		return nil, coder.New(pb.ResultCode_RESULT_CODE_DEADLINE_EXPIRED, "no time left on arrival")
 	}
-	p := &plan{
-		request:  r,
-		class:    class,
-		service:  index.Service(r.GetService()),
-		index:    index,
-		deadline: s.config.Clock.Now().Add(timeLeft),
-	}
-	if err := s.pin(p); err != nil {
+	q := s.newQuery(index, class, r, timeLeft)
+	defer q.close()
+	if err := q.pin(ctx); err != nil {
 		return nil, err
 	}
-	return s.run(ctx, p), nil
-}
-
-// pin chooses the newest snapshot that the leaves hold completely, or else the one held most, and
-// lists the partitions of its layout.
-func (s *Searcher) pin(p *plan) error {
-	held := map[uint64]map[uint32]bool{}
-	counts := map[uint64]uint32{}
-	for _, l := range p.service.GetLeaves() {
-		for _, h := range s.config.Statuses.Status(l.GetName()).GetSnapshots() {
-			if held[h.GetSnapshot()] == nil {
-				held[h.GetSnapshot()] = map[uint32]bool{}
-			}
-			counts[h.GetSnapshot()] = h.GetPartitionCount()
-			for _, q := range h.GetPartitions() {
-				held[h.GetSnapshot()][q] = true
-			}
-		}
-	}
-	var best uint64
-	for snapshot, partitions := range held {
-		share := float64(len(partitions)) / float64(max(1, counts[snapshot]))
-		bestShare := float64(len(held[best])) / float64(max(1, counts[best]))
-		if share > bestShare || (share == bestShare && snapshot > best) {
-			best = snapshot
-		}
-	}
-	p.snapshot = best
-	count := counts[best]
-	if best == 0 {
-		count = p.service.GetPartitionCount()
-	}
-	return p.choosePartitions(count)
-}
-
-func (p *plan) choosePartitions(count uint32) error {
-	if len(p.request.GetPartitions()) == 0 {
-		for q := range count {
-			p.partitions = append(p.partitions, q)
-		}
-		return nil
-	}
-	seen := map[uint32]bool{}
-	for _, q := range p.request.GetPartitions() {
-		if q >= count {
-			return coder.New(pb.ResultCode_RESULT_CODE_UNKNOWN_PARTITION, "partition %d is not below %d", q, count)
-		}
-		if !seen[q] {
-			seen[q] = true
-			p.partitions = append(p.partitions, q)
-		}
-	}
-	return nil
-}
-
-// run sends the calls and gathers the replies.
-func (s *Searcher) run(ctx context.Context, p *plan) *pb.SearchAnswer {
-	timeLeft := s.config.Clock.Until(p.deadline)
-	ctx, cancel := context.WithTimeout(ctx, timeLeft)
-	defer cancel()
-	g := newGathering(p)
-	replies := make(chan *pb.LeafReply, len(p.partitions))
-	batches := s.batches(p, g, timeLeft)
-	for owner, b := range batches {
-		s.config.Router.StartBatch(ctx, owner, b, func(r *pb.LeafReply) { replies <- r })
-	}
-	for g.open() > 0 {
-		select {
-		case r := <-replies:
-			g.add(r)
-		case <-ctx.Done():
-			s.cancel(batches)
-			return s.finish(g)
-		}
-	}
-	return s.finish(g)
+	answer := q.run(ctx)
+	q.record(answer)
+	return answer, nil
 }
 
-// batches picks a replica for each partition and groups the calls by owner.
-func (s *Searcher) batches(p *plan, g *gathering, timeLeft time.Duration) map[*pb.Member]*pb.LeafBatch {
-	batches := map[*pb.Member]*pb.LeafBatch{}
-	for _, q := range p.partitions {
-		leaf := s.pick(p, q)
-		if leaf == nil {
-			g.lack(q, pb.ResultCode_RESULT_CODE_NO_REPLICA)
-			continue
-		}
-		owner := s.config.Owners.Owner(leaf.GetName())
-		if owner == nil {
-			g.lack(q, pb.ResultCode_RESULT_CODE_OWNER_UNREACHABLE)
-			continue
-		}
-		b := batches[owner]
-		if b == nil {
-			b = &pb.LeafBatch{
-				RequestId: p.request.GetRequestId(),
-				Service:   p.request.GetService(),
-				Class:     p.request.GetClass(),
-				Query:     p.request.GetQuery(),
-				Snapshot:  p.snapshot,
-				TimeLeft:  router.TimeLeft(timeLeft),
-				Worth:     p.class.GetWorth(),
-			}
-			batches[owner] = b
-		}
-		id := s.config.Router.NextCallID()
-		g.expect(id, q)
-		b.Calls = append(b.Calls, &pb.LeafCall{CallId: id, Leaf: leaf.GetName(), Partition: q, Attempt: 1})
-	}
-	return batches
+func (s *Searcher) newQuery(
+	index *indexer.Index, class *pb.Class, r *pb.SearchRequest, timeLeft time.Duration,
+) *query {
+	now := s.config.Clock.Now()
+	answerAfter := timeLeft - margin(timeLeft)
+	v := valuer.New(class)
+	l := s.line(r.GetService())
+	service := index.Service(r.GetService())
+	share := service.GetExtraCallBudget()
+	if share == 0 {
+		share = budgeter.DefaultShare
+	}
+	q := &query{
+		searcher: s, line: l, index: index, request: r, service: service, share: share,
+		series: s.config.Recorder.Series(r.GetService(), r.GetClass()),
+		valuer: v,
+		answerer: answerer.New(answerer.Config{
+			Valuer: v, Arrivals: l.estimator, AnswerBy: answerAfter,
+		}),
+		picker:    picker.New(picker.Config{Random: rand.New(rand.NewPCG(s.config.Random(), 1))}), //nolint:gosec // no secret
+		mailbox:   newMailbox(),
+		class:     class,
+		arrivedAt: now,
+		answerBy:  now.Add(answerAfter),
+		timer:     s.config.Clock.NewTimer(answerAfter),
+	}
+	q.hedgeDelay, q.hedging = s.config.Hedger.Delay(l.estimator, share)
+	q.typical, _ = l.estimator.Quantile(median)
+	return q
 }
 
-// pick returns the replica that is expected to answer first, or nil.
-func (s *Searcher) pick(p *plan, partition uint32) *pb.Leaf {
-	var best *pb.Leaf
-	var bestExpected time.Duration
-	for _, l := range p.service.GetLeaves() {
-		status := s.config.Statuses.Status(l.GetName())
-		if !usable(p, l, status, partition) {
-			continue
-		}
-		expected := status.GetExpectedWait().AsDuration() + status.GetExpectedLatency().AsDuration()
-		if best == nil || expected < bestExpected {
-			best, bestExpected = l, expected
+func (s *Searcher) line(service string) *line {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	l := s.lines[service]
+	if l == nil {
+		l = &line{
+			budgeter:  budgeter.New(budgeter.Config{Clock: s.config.Clock}),
+			estimator: estimator.New(estimator.Config{Clock: s.config.Clock}),
 		}
+		s.lines[service] = l
 	}
-	return best
+	return l
 }
 
-func usable(p *plan, l *pb.Leaf, status *pb.LeafStatus, partition uint32) bool {
-	if status == nil || status.GetDraining() || !status.GetReachable() {
-		return false
-	}
-	return p.index.ZoneInService(l.GetAvailabilityZone()) && holds(status, p.snapshot, partition)
+// margin is the part of the time left that is kept for the answer's way back.
+func margin(timeLeft time.Duration) time.Duration {
+	return min(max(timeLeft/marginDivisor, shortestMargin), longestMargin, timeLeft/2)
 }
 
-func holds(status *pb.LeafStatus, snapshot uint64, partition uint32) bool {
-	for _, h := range status.GetSnapshots() {
-		if h.GetSnapshot() != snapshot {
-			continue
-		}
-		for _, q := range h.GetPartitions() {
-			if q == partition {
-				return true
-			}
+// choosePartitions returns the asked partitions of a layout in ascending order, each once.
+func choosePartitions(asked []uint32, count uint32) ([]uint32, error) {
+	if len(asked) == 0 {
+		all := make([]uint32, 0, count)
+		for p := range count {
+			all = append(all, p)
 		}
+		return all, nil
 	}
-	return false
-}
-
-func (s *Searcher) cancel(batches map[*pb.Member]*pb.LeafBatch) {
-	for owner, b := range batches {
-		ids := make([]uint64, 0, len(b.GetCalls()))
-		for _, c := range b.GetCalls() {
-			ids = append(ids, c.GetCallId())
-		}
-		s.config.Router.Cancel(context.Background(), owner, ids)
+	chosen := slices.Clone(asked)
+	slices.Sort(chosen)
+	chosen = slices.Compact(chosen)
+	if last := chosen[len(chosen)-1]; last >= count {
+		return nil, coder.New(pb.ResultCode_RESULT_CODE_UNKNOWN_PARTITION, "partition %d is not below %d", last, count)
 	}
-}
-
-func (s *Searcher) finish(g *gathering) *pb.SearchAnswer {
-	answer := g.answer()
-	covered := answer.GetCoverage()
-	s.config.Asserter.Check(
-		len(covered.GetIncluded())+len(covered.GetLacking()) == int(covered.GetAsked()),
-		"coverage_names_every_asked_partition", "request_id", answer.GetRequestId())
-	s.config.Asserter.Check(
-		len(covered.GetIncluded()) == len(answer.GetParts()),
-		"coverage_equals_merged_parts", "request_id", answer.GetRequestId())
-	return answer
+	return chosen, nil
 }
--- a/internal/node/assembler/entryside.go
+++ b/internal/node/assembler/entryside.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
 	"github.com/magnoliastep/magnoliastep/internal/entry/directory"
+	"github.com/magnoliastep/magnoliastep/internal/entry/recorder"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
 	"github.com/magnoliastep/magnoliastep/internal/entry/tracker"
@@ -20,7 +21,7 @@
 	n.router = router.New(router.Config{NodeName: name, Messenger: n.messenger, Dispatcher: n.dispatcher})
 	n.searcher = searcher.New(searcher.Config{
 		Source: n.keeper, Owners: n.placer, Statuses: n.tracker, Router: n.router, Clock: n.config.Clock,
-		Asserter: n.asserter,
+		Asserter: n.asserter, Recorder: recorder.New(recorder.Config{Metrics: n.metrics}),
 	})
 	n.submitter = submitter.New(submitter.Config{
 		NodeName: name, Source: n.keeper, View: n.prober, Owners: n.placer, Statuses: n.tracker,
--- a/internal/peer/router/router.go
+++ b/internal/peer/router/router.go
@@ -80,7 +80,9 @@
 		return
 	}
 	for _, id := range ids {
-		deliver(unreachable(b, id, partitions[id]))
+		reply := unreachable(b, id, partitions[id])
+		reply.NotSent = true
+		deliver(reply)
 	}
 }
 
