Claim request ids from witnesses before a non-idempotent run

Cause: the home of an id was the first node of the live view, so two views named two homes, and each could run the id; a repeat through another entry during a cut ran twice. Ruled out: a home with tenure in the view (two views, two tenures); a write to the platform for each booking (stops during an outage of the store, and grows with the load); top two nodes of the live view (two sides of a cut name disjoint pairs); a majority of the whole fleet (501 messages at 1,000 nodes). Change: an id's witnesses are five nodes by rendezvous over the roster, which only the platform's list shrinks; an attempt needs a majority of every group in force; a witness grants an id once and never one that is older than its own memory; the outcome goes to the witnesses, so repeats through any entry get it. The leaf is chosen from the pinned layout, and an owner does not send a call that was held up past its time.

--- /dev/null
+++ b/internal/booking/recorder/recorder.go
@@ -0,0 +1,44 @@
+// Package recorder counts what became of non-idempotent requests. Answers and verdicts flow in,
+// counters in the node's metrics set flow out.
+package recorder
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+)
+
+type (
+	// Config holds what a Recorder needs.
+	Config struct {
+		Metrics *metrics.Set
+	}
+
+	// Recorder writes metrics. It is safe for concurrent use.
+	Recorder struct {
+		set *metrics.Set
+	}
+)
+
+// New returns a Recorder. Without a set it records into one of its own.
+func New(c Config) *Recorder {
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	return &Recorder{set: c.Metrics}
+}
+
+// Answered records an answer.
+func (r *Recorder) Answered(service, class string, code pb.ResultCode, elapsed time.Duration) {
+	labels := fmt.Sprintf("service=%q,class=%q", service, class)
+	r.set.GetOrCreateCounter(fmt.Sprintf("magnoliastep_submit_answers_total{%s,code=%q}", labels, code)).Inc()
+	r.set.GetOrCreateHistogram("magnoliastep_submit_seconds{" + labels + "}").Update(elapsed.Seconds())
+}
+
+// Claimed records the verdict of a claim.
+func (r *Recorder) Claimed(verdict string) {
+	r.set.GetOrCreateCounter(fmt.Sprintf("magnoliastep_submit_claims_total{verdict=%q}", verdict)).Inc()
+}
--- a/internal/booking/submitter/submitter.go
+++ b/internal/booking/submitter/submitter.go
@@ -1,26 +1,37 @@
-// Package submitter runs non-idempotent requests at most once. A request flows in at any entry node and
-// is taken to its home, the node that rendezvous hashing of the request id names; repeats meet there.
-// The home sends it to the owner of one leaf, once, and remembers the outcome. A home that cannot know
-// whether an id has run answers "outcome unknown" and does not run it.
+// Package submitter runs non-idempotent requests at most once. A request flows in at any entry node,
+// which claims its id from the id's witnesses, sends it to the owner of one leaf and tells the witnesses
+// the outcome. Repeats through any entry meet at the same witnesses and get the outcome that is known.
+// "Not run" is answered only when no attempt can have reached a leaf or the leaf said so; what nobody
+// can know is answered as "outcome unknown" and does not run.
 package submitter
 
 import (
 	"context"
-	"sync"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 	"github.com/coder/quartz"
-	"github.com/google/uuid"
+	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"github.com/magnoliastep/magnoliastep/internal/booking/claimer"
+	"github.com/magnoliastep/magnoliastep/internal/booking/identifier"
+	"github.com/magnoliastep/magnoliastep/internal/booking/recorder"
 	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
+	"github.com/magnoliastep/magnoliastep/internal/entry/cataloger"
+	"github.com/magnoliastep/magnoliastep/internal/entry/pinner"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
-	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
-	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/peer/router"
 	"github.com/magnoliastep/magnoliastep/internal/result/coder"
-	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
+)
+
+const (
+	catalogRefresh = 200 * time.Millisecond
+	shortestPause  = 10 * time.Millisecond
+	longestPause   = 50 * time.Millisecond
+	marginDivisor  = 20
+	longestMargin  = 50 * time.Millisecond
+	settleTimeout  = 2 * time.Second
 )
 
 type (
@@ -29,11 +40,6 @@
 		Index() *indexer.Index
 	}
 
-	// View lists the live nodes.
-	View interface {
-		Members() []*pb.Member
-	}
-
 	// Owners tells which node owns a leaf.
 	Owners interface {
 		Owner(leaf string) *pb.Member
@@ -49,93 +55,83 @@
 		Submit(ctx context.Context, owner *pb.Member, c *pb.SubmitCall) (*pb.SubmitReply, error)
 	}
 
+	// Claimer claims request ids.
+	Claimer interface {
+		Claim(ctx context.Context, c *pb.SubmitClaim) claimer.Result
+		Settle(ctx context.Context, s *pb.SubmitSettle)
+	}
+
 	// Config holds what a Submitter needs.
 	Config struct {
-		NodeName string
 		Source   ConfigSource
-		View     View
 		Owners   Owners
 		Statuses Statuses
 		Router   Router
+		Claimer  Claimer
 		Clock    quartz.Clock
-		Asserter *asserter.Asserter
-		// KeepFor is how long an outcome is remembered.
-		KeepFor time.Duration
+		// Recorder may be nil.
+		Recorder *recorder.Recorder
+		// ClockAllowance is the largest difference between the clocks of callers and nodes.
+		ClockAllowance time.Duration
+		// NewToken returns a name for an attempt that no other attempt on any node has.
+		NewToken func() string
 	}
 
 	// Submitter runs non-idempotent requests. It is safe for concurrent use.
 	Submitter struct {
-		config Config
-		// startedAt is when this node began to remember outcomes.
-		startedAt time.Time
-		mutex     sync.Mutex
-		// records has one record for each request id that came to this home; a record is made before
-		// the request is sent and is not removed before its id is too old to be run.
-		records map[string]*record
-	}
-
-	record struct {
-		fingerprint uint64
-		createdAt   time.Time
-		// reply is nil while the request runs.
-		reply *pb.SubmitReply
+		config    Config
+		cataloger *cataloger.Cataloger
 	}
 )
 
-// New returns a Submitter without records.
+// New returns a Submitter.
 func New(c Config) *Submitter {
-	return &Submitter{config: c, startedAt: c.Clock.Now(), records: map[string]*record{}}
+	if c.Recorder == nil {
+		c.Recorder = recorder.New(recorder.Config{})
+	}
+	return &Submitter{config: c, cataloger: cataloger.New(cataloger.Config{
+		Statuses: c.Statuses, Clock: c.Clock, Refresh: catalogRefresh,
+	})}
 }
 
 // Submit answers the request of a caller. Rejections come back as coded errors.
 func (s *Submitter) Submit(ctx context.Context, caller *pb.Caller, r *pb.SubmitRequest) (*pb.SubmitAnswer, error) {
-	call, err := s.check(caller, r)
+	startedAt := s.config.Clock.Now()
+	timeLeft, err := s.check(caller, r)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, call.GetTimeLeft().AsDuration())
+	// The attempt does not end with the caller's connection: its outcome must reach the witnesses.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeLeft)
 	defer cancel()
-	home := ranker.First(ranker.Key{Name: r.GetRequestId()}, s.config.View.Members())
-	reply, err := s.askHome(ctx, home, call)
-	switch {
-	case errors.Is(err, messenger.ErrNotSent):
-		reply = &pb.SubmitReply{Code: pb.ResultCode_RESULT_CODE_NOT_RUN, Message: "home node cannot be reached"}
-	case err != nil || reply.GetRequestId() != r.GetRequestId():
-		reply = &pb.SubmitReply{Code: pb.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, Message: "home node did not answer"}
-	}
+	reply := s.attempt(ctx, r, startedAt.Add(timeLeft))
+	s.config.Recorder.Answered(r.GetService(), r.GetClass(), reply.GetCode(), s.config.Clock.Since(startedAt))
 	return &pb.SubmitAnswer{
 		Code: reply.GetCode(), Message: reply.GetMessage(), RequestId: r.GetRequestId(), Payload: reply.GetPayload(),
 	}, nil
 }
 
-// HandleAtHome answers a call that another entry node, or this one, brought to its home.
-func (s *Submitter) HandleAtHome(ctx context.Context, c *pb.SubmitCall) *pb.SubmitReply {
-	known := s.begin(c)
-	if known != nil {
-		known.RequestId = c.GetRequestId()
-		return known
-	}
-	// The run does not end with the caller's connection: the outcome must be recorded.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.GetTimeLeft().AsDuration())
-	defer cancel()
-	reply := s.run(ctx, c)
-	reply.RequestId = c.GetRequestId()
-	s.finish(c, reply)
-	return reply
-}
-
-func (s *Submitter) check(caller *pb.Caller, r *pb.SubmitRequest) (*pb.SubmitCall, error) {
+// check returns the time for the attempt.
+func (s *Submitter) check(caller *pb.Caller, r *pb.SubmitRequest) (time.Duration, error) {
 	kind := pb.RequestKind_REQUEST_KIND_NON_IDEMPOTENT
 	index := s.config.Source.Index()
 	class, err := index.CheckClass(caller, r.GetService(), r.GetClass(), kind)
 	if err != nil {
-		return nil, err
+		return 0, err
+	}
+	created, err := identifier.CreatedAt(r.GetRequestId())
+	if err != nil {
+		return 0, coder.New(pb.ResultCode_RESULT_CODE_MALFORMED, "request_id: %v", err)
 	}
-	if _, err := createdAt(r.GetRequestId()); err != nil {
-		return nil, coder.New(pb.ResultCode_RESULT_CODE_MALFORMED, "request_id: %v", err)
+	if ahead := created.Sub(s.config.Clock.Now()); ahead > s.config.ClockAllowance {
+		return 0, coder.New(pb.ResultCode_RESULT_CODE_MALFORMED, "request_id: created %v in the future", ahead)
 	}
-	if count := index.Service(r.GetService()).GetPartitionCount(); r.GetPartition() >= count {
-		return nil, coder.New(pb.ResultCode_RESULT_CODE_UNKNOWN_PARTITION,
+	count := index.Service(r.GetService()).GetPartitionCount()
+	if l := s.layout(r.GetService()); l != nil {
+		count = l.PartitionCount()
+	}
+	if r.GetPartition() >= count {
+		return 0, coder.New(pb.ResultCode_RESULT_CODE_UNKNOWN_PARTITION,
 			"partition %d is not below %d", r.GetPartition(), count)
 	}
 	timeLeft := class.GetLateness().AsDuration()
@@ -143,124 +139,126 @@
 		timeLeft = min(timeLeft, r.GetTimeLeft().AsDuration())
 	}
 	if timeLeft <= 0 {
-		return nil, coder.New(pb.ResultCode_RESULT_CODE_DEADLINE_EXPIRED, "no time left on arrival")
+		return 0, coder.New(pb.ResultCode_RESULT_CODE_DEADLINE_EXPIRED, "no time left on arrival")
 	}
-	return &pb.SubmitCall{
-		Service: r.GetService(), Class: r.GetClass(), RequestId: r.GetRequestId(),
-		Partition: r.GetPartition(), Payload: r.GetPayload(), TimeLeft: router.TimeLeft(timeLeft),
-	}, nil
+	return timeLeft - min(timeLeft/marginDivisor, longestMargin), nil
 }
 
-func (s *Submitter) askHome(ctx context.Context, home *pb.Member, c *pb.SubmitCall) (*pb.SubmitReply, error) {
-	if home == nil || home.GetName() == s.config.NodeName {
-		return s.HandleAtHome(ctx, c), nil
-	}
-	return s.config.Router.Submit(ctx, home, c)
-}
-
-// begin makes the record of a new id, or returns what is known of the id.
-func (s *Submitter) begin(c *pb.SubmitCall) *pb.SubmitReply {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.expireLocked()
-	fingerprint := fingerprintOf(c)
-	known := s.records[c.GetRequestId()]
-	switch {
-	case known != nil && known.fingerprint != fingerprint:
-		return &pb.SubmitReply{
-			Code: pb.ResultCode_RESULT_CODE_DUPLICATE_REQUEST_ID, Message: "the id belongs to another request",
+// attempt claims the id until it wins, learns the outcome or runs out of time. A claim that met another
+// one is withdrawn for good before the next, so that neither stands in the other's way; its token is
+// never used again.
+func (s *Submitter) attempt(ctx context.Context, r *pb.SubmitRequest, deadline time.Time) *pb.SubmitReply {
+	claim := s.newClaim(r, deadline)
+	for {
+		result := s.config.Claimer.Claim(ctx, claim)
+		s.config.Recorder.Claimed(result.Verdict.String())
+		if result.Verdict == claimer.VerdictWon {
+			return s.runClaimed(ctx, r, claim, deadline)
 		}
-	case known != nil && known.reply == nil:
-		return &pb.SubmitReply{Code: pb.ResultCode_RESULT_CODE_IN_PROGRESS, Message: "the request is running"}
-	case known != nil:
-		return &pb.SubmitReply{
-			Code: known.reply.GetCode(), Message: known.reply.GetMessage(), Payload: known.reply.GetPayload(),
+		claim.Groups = result.Groups
+		reply := final(result)
+		if reply == nil && !s.pause(ctx) {
+			reply = timedOut(result.Verdict)
 		}
-	}
-	created, err := createdAt(c.GetRequestId())
-	if err != nil || created.Before(s.startedAt) || s.config.Clock.Since(created) > s.config.KeepFor {
-		return &pb.SubmitReply{
-			Code: pb.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, Message: "the id is older than this node's records",
+		if reply != nil || result.Verdict == claimer.VerdictHeld {
+			s.settle(ctx, &pb.SubmitSettle{RequestId: r.GetRequestId(), Token: claim.GetToken(), Abandoned: true})
+			claim = s.newClaim(r, deadline)
+		}
+		if reply != nil {
+			return reply
 		}
 	}
-	s.records[c.GetRequestId()] = &record{fingerprint: fingerprint, createdAt: created}
-	return nil
 }
 
-func (s *Submitter) finish(c *pb.SubmitCall, reply *pb.SubmitReply) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if reply.GetCode() == pb.ResultCode_RESULT_CODE_NOT_RUN {
-		delete(s.records, c.GetRequestId()) // it did not run, so a repeat may
-		return
+func (s *Submitter) newClaim(r *pb.SubmitRequest, deadline time.Time) *pb.SubmitClaim {
+	return &pb.SubmitClaim{
+		RequestId: r.GetRequestId(), Fingerprint: fingerprint(r), Token: s.config.NewToken(),
+		NotAfter: timestamppb.New(deadline),
 	}
-	s.records[c.GetRequestId()].reply = reply
 }
 
-// expireLocked removes records whose id is too old to be run again.
-func (s *Submitter) expireLocked() {
-	for id, r := range s.records {
-		if r.reply != nil && s.config.Clock.Since(r.createdAt) > 2*s.config.KeepFor {
-			delete(s.records, id)
-		}
-	}
+// runClaimed makes the one run and settles the claim.
+func (s *Submitter) runClaimed(
+	ctx context.Context, r *pb.SubmitRequest, claim *pb.SubmitClaim, deadline time.Time,
+) *pb.SubmitReply {
+	reply := s.run(ctx, r, deadline)
+	s.settle(ctx, &pb.SubmitSettle{
+		RequestId: r.GetRequestId(), Token: claim.GetToken(),
+		Abandoned: reply.GetCode() == pb.ResultCode_RESULT_CODE_NOT_RUN, Outcome: reply,
+	})
+	return reply
 }
 
-// run makes the one send.
-func (s *Submitter) run(ctx context.Context, c *pb.SubmitCall) *pb.SubmitReply {
-	leaf := s.pick(c)
-	if leaf == nil {
-		return &pb.SubmitReply{Code: pb.ResultCode_RESULT_CODE_NOT_RUN, Message: "no leaf of the partition is in service"}
-	}
-	sent := &pb.SubmitCall{
-		Service: c.GetService(), Class: c.GetClass(), RequestId: c.GetRequestId(), Partition: c.GetPartition(),
-		Payload: c.GetPayload(), TimeLeft: c.GetTimeLeft(), Leaf: leaf.GetName(),
+func (s *Submitter) settle(ctx context.Context, settle *pb.SubmitSettle) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	context.AfterFunc(ctx, cancel)
+	s.config.Claimer.Settle(ctx, settle)
+}
+
+// pause waits for a random time and returns false when the attempt's time is over.
+func (s *Submitter) pause(ctx context.Context) bool {
+	d := shortestPause + rand.N(longestPause-shortestPause) //nolint:gosec // no secret
+	timer := s.config.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
 	}
-	reply, err := s.config.Router.Submit(ctx, s.config.Owners.Owner(leaf.GetName()), sent)
-	switch {
-	case errors.Is(err, messenger.ErrNotSent):
-		return &pb.SubmitReply{Code: pb.ResultCode_RESULT_CODE_NOT_RUN, Message: "owner cannot be reached"}
-	case err != nil || reply.GetRequestId() != c.GetRequestId():
-		return &pb.SubmitReply{Code: pb.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, Message: "owner did not answer"}
+}
+
+func (s *Submitter) layout(service string) *pinner.Layout {
+	return pinner.Pin(s.cataloger.Layouts(s.config.Source.Index(), service))
+}
+
+// final returns the reply to a verdict that more time does not change, or nil.
+func final(r claimer.Result) *pb.SubmitReply {
+	switch r.Verdict {
+	case claimer.VerdictKnown:
+		return r.Outcome
+	case claimer.VerdictDuplicate:
+		return replyOf(pb.ResultCode_RESULT_CODE_DUPLICATE_REQUEST_ID, "the id belongs to another request")
+	case claimer.VerdictLapsed:
+		return replyOf(pb.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, "an earlier attempt ended without a known outcome")
+	case claimer.VerdictTooOld:
+		return replyOf(pb.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN, "the id is older than the records of its witnesses")
+	default:
+		return nil
 	}
-	return reply
 }
 
-// pick returns the first usable leaf of the partition in the order of the configuration.
-func (s *Submitter) pick(c *pb.SubmitCall) *pb.Leaf {
-	index := s.config.Source.Index()
-	for _, l := range index.Service(c.GetService()).GetLeaves() {
-		status := s.config.Statuses.Status(l.GetName())
-		if status == nil || status.GetDraining() || !status.GetReachable() || !index.ZoneInService(l.GetAvailabilityZone()) {
-			continue
-		}
-		for _, q := range l.GetPartitions() {
-			if q == c.GetPartition() {
-				return l
-			}
-		}
+// timedOut returns the reply when the time is over. This attempt has sent nothing.
+func timedOut(v claimer.Verdict) *pb.SubmitReply {
+	switch v {
+	case claimer.VerdictHeld:
+		return replyOf(pb.ResultCode_RESULT_CODE_IN_PROGRESS, "another attempt is running the request")
+	case claimer.VerdictShort:
+		return replyOf(pb.ResultCode_RESULT_CODE_NOT_RUN, "too few witnesses answered")
+	default:
+		return replyOf(pb.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN,
+			"not sent by this attempt; too few witnesses answered to know of earlier ones")
 	}
-	return nil
 }
 
-func fingerprintOf(c *pb.SubmitCall) uint64 {
+func replyOf(code pb.ResultCode, message string) *pb.SubmitReply {
+	return &pb.SubmitReply{Code: code, Message: message}
+}
+
+// fingerprint tells requests with the same id and other content apart.
+func fingerprint(r *pb.SubmitRequest) uint64 {
 	digest := xxhash.New()
-	for _, part := range []string{c.GetService(), c.GetClass(), c.GetPayload()} {
+	for _, part := range []string{r.GetService(), r.GetClass(), r.GetPayload()} {
 		_, _ = digest.WriteString(part)
 		_, _ = digest.WriteString("\x00")
 	}
-	return digest.Sum64() + uint64(c.GetPartition())
+	return digest.Sum64() + uint64(r.GetPartition())
 }
 
-// createdAt reads the creation time out of a UUIDv7.
-func createdAt(id string) (time.Time, error) {
-	parsed, err := uuid.Parse(id)
-	if err != nil {
-		return time.Time{}, errors.Wrap(err, "not a UUID")
-	}
-	if parsed.Version() != 7 {
-		return time.Time{}, errors.Newf("UUID has version %d instead of 7", parsed.Version())
+// callOf returns the call to the leaf.
+func callOf(r *pb.SubmitRequest, leaf string, timeLeft time.Duration, notAfter time.Time) *pb.SubmitCall {
+	return &pb.SubmitCall{
+		Service: r.GetService(), Class: r.GetClass(), RequestId: r.GetRequestId(), Partition: r.GetPartition(),
+		Payload: r.GetPayload(), TimeLeft: router.TimeLeft(timeLeft), Leaf: leaf, NotAfter: timestamppb.New(notAfter),
 	}
-	seconds, nanoseconds := parsed.Time().UnixTime()
-	return time.Unix(seconds, nanoseconds), nil
 }
--- a/internal/leaf/dispatcher/dispatcher.go
+++ b/internal/leaf/dispatcher/dispatcher.go
@@ -113,6 +113,11 @@
 
 // Submit makes one call to one leaf for a non-idempotent request. It is sent at most once.
 func (d *Dispatcher) Submit(ctx context.Context, c *pb.SubmitCall) *pb.SubmitReply {
+	if c.GetNotAfter() != nil && d.config.Clock.Now().After(c.GetNotAfter().AsTime()) {
+		return &pb.SubmitReply{
+			Code: pb.ResultCode_RESULT_CODE_NOT_RUN, RequestId: c.GetRequestId(), Message: "held up until its time was over",
+		}
+	}
 	l, code := d.ownedLane(c.GetLeaf())
 	if l == nil {
 		return &pb.SubmitReply{Code: pb.ResultCode_RESULT_CODE_NOT_RUN, RequestId: c.GetRequestId(), Message: code.String()}
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -14,6 +14,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/quartz"
 
+	"github.com/magnoliastep/magnoliastep/internal/booking/grouper"
+	"github.com/magnoliastep/magnoliastep/internal/booking/registrar"
 	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
 	"github.com/magnoliastep/magnoliastep/internal/config/healer"
 	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
@@ -33,7 +35,6 @@
 )
 
 const (
-	outcomeKeepFor    = 10 * time.Minute
 	readHeaderTimeout = 5 * time.Second
 )
 
@@ -77,6 +78,8 @@
 		router     *router.Router
 		searcher   *searcher.Searcher
 		submitter  *submitter.Submitter
+		grouper    *grouper.Grouper
+		registrar  *registrar.Registrar
 		entry      *entryserver.Server
 		operator   *operatorserver.Server
 	}
--- /dev/null
+++ b/internal/node/assembler/bookingside.go
@@ -0,0 +1,76 @@
+package assembler
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/magnoliastep/magnoliastep/internal/booking/claimer"
+	"github.com/magnoliastep/magnoliastep/internal/booking/grouper"
+	"github.com/magnoliastep/magnoliastep/internal/booking/recorder"
+	"github.com/magnoliastep/magnoliastep/internal/booking/registrar"
+	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/platform/client"
+)
+
+const (
+	outcomeKeepFor     = 10 * time.Minute
+	clockAllowance     = time.Second
+	witnessGroupSettle = 2 * time.Minute
+	claimTimeout       = 250 * time.Millisecond
+)
+
+type (
+	// listTee passes each list of VMs on to observe.
+	listTee struct {
+		store   Store
+		port    string
+		observe func(vms []*pb.Member)
+	}
+)
+
+// VMs implements prober.VMLister.
+func (l listTee) VMs(ctx context.Context) ([]client.VM, error) {
+	vms, err := l.store.VMs(ctx)
+	if err != nil {
+		return nil, err
+	}
+	members := make([]*pb.Member, 0, len(vms))
+	for _, v := range vms {
+		members = append(members, &pb.Member{
+			Name: v.Name, AvailabilityZone: v.AvailabilityZone, PeerAddress: net.JoinHostPort(v.IP, l.port),
+		})
+	}
+	l.observe(members)
+	return vms, nil
+}
+
+// newListTee returns the platform's list of VMs, from which the witnesses learn too.
+func (n *Node) newListTee() listTee {
+	_, port, _ := net.SplitHostPort(n.config.Settings.GetPeerAddress())
+	return listTee{
+		store: n.config.Store, port: port, observe: func(vms []*pb.Member) { n.grouper.ObserveList(vms) },
+	}
+}
+
+// assembleWitness builds the memory of non-idempotent requests.
+func (n *Node) assembleWitness() {
+	n.grouper = grouper.New(grouper.Config{View: n.prober, Clock: n.config.Clock, Settle: witnessGroupSettle})
+	n.registrar = registrar.New(registrar.Config{
+		Clock: n.config.Clock, Groups: n.grouper, Asserter: n.asserter,
+		ClockAllowance: clockAllowance, KeepFor: outcomeKeepFor,
+	})
+}
+
+// assembleSubmitter builds what runs non-idempotent requests.
+func (n *Node) assembleSubmitter() {
+	n.submitter = submitter.New(submitter.Config{
+		Source: n.keeper, Owners: n.placer, Statuses: n.tracker, Router: n.router, Clock: n.config.Clock,
+		Claimer:  claimer.New(claimer.Config{Peers: n.router, Groups: n.grouper, Timeout: claimTimeout}),
+		Recorder: recorder.New(recorder.Config{Metrics: n.metrics}), ClockAllowance: clockAllowance,
+		NewToken: func() string { return n.config.Settings.GetNodeName() + "/" + uuid.NewString() },
+	})
+}
--- a/internal/node/assembler/entryside.go
+++ b/internal/node/assembler/entryside.go
@@ -1,7 +1,6 @@
 package assembler
 
 import (
-	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
 	"github.com/magnoliastep/magnoliastep/internal/entry/directory"
 	"github.com/magnoliastep/magnoliastep/internal/entry/recorder"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
@@ -18,15 +17,15 @@
 		NodeName: name, Messenger: n.messenger, View: n.prober, Local: n.dispatcher, Clock: n.config.Clock,
 		Period: t.GetLeafStatusPeriod().AsDuration(),
 	})
-	n.router = router.New(router.Config{NodeName: name, Messenger: n.messenger, Dispatcher: n.dispatcher})
+	n.assembleWitness()
+	n.router = router.New(router.Config{
+		NodeName: name, Messenger: n.messenger, Dispatcher: n.dispatcher, Witness: n.registrar,
+	})
 	n.searcher = searcher.New(searcher.Config{
 		Source: n.keeper, Owners: n.placer, Statuses: n.tracker, Router: n.router, Clock: n.config.Clock,
 		Asserter: n.asserter, Recorder: recorder.New(recorder.Config{Metrics: n.metrics}),
 	})
-	n.submitter = submitter.New(submitter.Config{
-		NodeName: name, Source: n.keeper, View: n.prober, Owners: n.placer, Statuses: n.tracker,
-		Router: n.router, Clock: n.config.Clock, Asserter: n.asserter, KeepFor: outcomeKeepFor,
-	})
+	n.assembleSubmitter()
 	n.entry = entryserver.New(entryserver.Config{
 		Source: n.keeper, Searcher: n.searcher, Submitter: n.submitter,
 		Directory: directory.New(directory.Config{
--- a/internal/node/assembler/frames.go
+++ b/internal/node/assembler/frames.go
@@ -15,8 +15,13 @@
 		})
 	case *pb.Frame_CancelCalls:
 		n.dispatcher.Cancel(f.GetFrom(), body.CancelCalls.GetCallIds())
+	case *pb.Frame_SubmitClaim:
+		r := n.registrar.Claim(body.SubmitClaim)
+		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_SubmitClaimReply{SubmitClaimReply: r}})
+	case *pb.Frame_SubmitSettle:
+		n.registrar.Settle(body.SubmitSettle)
 	case *pb.Frame_SubmitCall:
-		r := n.handleSubmit(ctx, body.SubmitCall)
+		r := n.dispatcher.Submit(ctx, body.SubmitCall)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_SubmitReply{SubmitReply: r}})
 	case *pb.Frame_Probe:
 		r := n.prober.HandleProbe(body.Probe.GetRumours())
@@ -29,11 +34,3 @@
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_LeafStatuses{LeafStatuses: statuses}})
 	}
 }
-
-// handleSubmit answers as the owner of the leaf that the call names, or else as the home of its id.
-func (n *Node) handleSubmit(ctx context.Context, c *pb.SubmitCall) *pb.SubmitReply {
-	if c.GetLeaf() != "" {
-		return n.dispatcher.Submit(ctx, c)
-	}
-	return n.submitter.HandleAtHome(ctx, c)
-}
--- a/internal/peer/router/router.go
+++ b/internal/peer/router/router.go
@@ -31,11 +31,18 @@
 		Submit(ctx context.Context, c *pb.SubmitCall) *pb.SubmitReply
 	}
 
+	// LocalWitness records the claims of non-idempotent requests on this node.
+	LocalWitness interface {
+		Claim(c *pb.SubmitClaim) *pb.SubmitClaimReply
+		Settle(s *pb.SubmitSettle)
+	}
+
 	// Config holds what a Router needs.
 	Config struct {
 		NodeName   string
 		Messenger  Messenger
 		Dispatcher LocalDispatcher
+		Witness    LocalWitness
 	}
 
 	// Router reaches the owners of leaves. It is safe for concurrent use.
@@ -110,6 +117,29 @@
 	return reply.GetSubmitReply(), nil
 }
 
+// Claim takes the claim to the witness and waits for its reply.
+func (r *Router) Claim(ctx context.Context, witness *pb.Member, c *pb.SubmitClaim) (*pb.SubmitClaimReply, error) {
+	if witness.GetName() == r.config.NodeName {
+		return r.config.Witness.Claim(c), nil
+	}
+	frame := &pb.Frame{Body: &pb.Frame_SubmitClaim{SubmitClaim: c}}
+	reply, err := r.config.Messenger.Call(ctx, witness.GetPeerAddress(), messenger.PlaneData, frame)
+	if err != nil {
+		return nil, err
+	}
+	return reply.GetSubmitClaimReply(), nil
+}
+
+// Settle tells the witness how an attempt ended. It may be lost.
+func (r *Router) Settle(ctx context.Context, witness *pb.Member, s *pb.SubmitSettle) {
+	if witness.GetName() == r.config.NodeName {
+		r.config.Witness.Settle(s)
+		return
+	}
+	frame := &pb.Frame{Body: &pb.Frame_SubmitSettle{SubmitSettle: s}}
+	_ = r.config.Messenger.Send(ctx, witness.GetPeerAddress(), messenger.PlaneData, frame)
+}
+
 // TimeLeft returns the duration as the schema carries it, never negative.
 func TimeLeft(d time.Duration) *durationpb.Duration {
 	return durationpb.New(max(0, d))
