Decide liveness with probes of constant cost

Cause: every node probed every other one in each period and sent its whole member list with each probe, so the cost of a node grew with the square of the fleet; a list that names upstream VMs was probed at full rate for ever, a frozen node declared others dead on thawing, and nothing refuted a wrong suspicion. Ruled out: a clustering library (not allowed), all-to-all heartbeats (cost), UDP (a second transport). Change: a pure SWIM state machine (view/detector), its driver (view/prober) and a reader of the VM list (view/lister). One direct probe a period in shuffled rounds, three relays for a silent target, suspicion with refutation by incarnation, bounded rumours, digests of the view with a full exchange when views go on differing, slow retries of dead members and unanswered addresses, newest process wins an address.

--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -28,6 +28,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/peer/router"
 	"github.com/magnoliastep/magnoliastep/internal/platform/client"
+	"github.com/magnoliastep/magnoliastep/internal/view/lister"
 	"github.com/magnoliastep/magnoliastep/internal/view/placer"
 	"github.com/magnoliastep/magnoliastep/internal/view/prober"
 )
@@ -71,6 +72,7 @@
 		healer     *healer.Healer
 		messenger  *messenger.Messenger
 		prober     *prober.Prober
+		lister     *lister.Lister
 		placer     *placer.Placer
 		dispatcher *dispatcher.Dispatcher
 		tracker    *tracker.Tracker
@@ -111,7 +113,7 @@
 	defer stopLoops()
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
-		n.watcher.Run, n.healer.Run, n.prober.Run, n.dispatcher.Run, n.tracker.Run,
+		n.watcher.Run, n.healer.Run, n.prober.Run, n.lister.Run, n.dispatcher.Run, n.tracker.Run,
 	} {
 		loops.Go(func() { run(loopContext) })
 	}
--- a/internal/node/assembler/frames.go
+++ b/internal/node/assembler/frames.go
@@ -19,7 +19,10 @@
 		r := n.handleSubmit(ctx, body.SubmitCall)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_SubmitReply{SubmitReply: r}})
 	case *pb.Frame_Probe:
-		r := n.prober.HandleProbe(body.Probe.GetRumours())
+		r := n.prober.HandleProbe(body.Probe)
+		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ProbeReply{ProbeReply: r}})
+	case *pb.Frame_IndirectProbe:
+		r := n.prober.HandleIndirect(ctx, body.IndirectProbe)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ProbeReply{ProbeReply: r}})
 	case *pb.Frame_ConfigPull:
 		delta := &pb.ConfigDelta{Objects: n.keeper.NewerThan(body.ConfigPull.GetVersions())}
--- /dev/null
+++ b/internal/view/detector/detector_test.go
@@ -0,0 +1,117 @@
+package detector_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/view/detector"
+)
+
+const suspicion = 2 * time.Second
+
+func member(name, address string, startedAt int64, incarnation uint64, state pb.MemberState) *pb.Member {
+	return &pb.Member{
+		Name: name, PeerAddress: address, StartedAt: startedAt, Incarnation: incarnation, State: state,
+	}
+}
+
+func newDetector() *detector.Detector {
+	return detector.New(detector.Config{
+		Self:            member("self", "10.0.0.1:7300", 100, 1, pb.MemberState_MEMBER_STATE_ALIVE),
+		SuspicionPeriod: suspicion, Random: rand.New(rand.NewPCG(1, 2)),
+	})
+}
+
+func describe(d *detector.Detector) string {
+	text := ""
+	for _, m := range d.Members() {
+		text += fmt.Sprintf("%s/%d/%d ", m.GetName(), m.GetStartedAt(), m.GetIncarnation())
+	}
+	return text
+}
+
+// TestClaimsMergeInAnyOrder gives the same claims in two orders, some more than once.
+func TestClaimsMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		claim := rapid.Custom(func(t *rapid.T) *pb.Member {
+			name := rapid.IntRange(1, 4).Draw(t, "name")
+			return member(fmt.Sprintf("node-%d", name), fmt.Sprintf("10.0.1.%d:7300", name),
+				int64(rapid.IntRange(1, 3).Draw(t, "started")), uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")),
+				pb.MemberState(rapid.IntRange(1, 4).Draw(t, "state")))
+		})
+		claims := rapid.SliceOfN(claim, 1, 12).Draw(t, "claims")
+		other := rapid.Permutation(append(claims, claims[:len(claims)/2]...)).Draw(t, "order")
+		now := time.Unix(1000, 0)
+		first, second := newDetector(), newDetector()
+		// Both know the processes at their start, so that a death is never the first news of one.
+		for started := int64(1); started <= 3; started++ {
+			for n := 1; n <= 4; n++ {
+				m := member(fmt.Sprintf("node-%d", n), fmt.Sprintf("10.0.1.%d:7300", n), started, 0,
+					pb.MemberState_MEMBER_STATE_ALIVE)
+				first.Learn(now, []*pb.Member{m})
+				second.Learn(now, []*pb.Member{m})
+			}
+		}
+		for _, m := range claims {
+			first.Learn(now, []*pb.Member{m})
+		}
+		for _, m := range other {
+			second.Learn(now, []*pb.Member{m})
+		}
+		if describe(first) != describe(second) {
+			t.Fatalf("views differ: %q and %q", describe(first), describe(second))
+		}
+	})
+}
+
+func TestRefutesWhatIsSaidOfItself(t *testing.T) {
+	for _, state := range []pb.MemberState{pb.MemberState_MEMBER_STATE_SUSPECT, pb.MemberState_MEMBER_STATE_DEAD} {
+		t.Run(state.String(), func(t *testing.T) {
+			is := is.New(t)
+			d := newDetector()
+			d.Learn(time.Unix(1, 0), []*pb.Member{member("self", "10.0.0.1:7300", 100, 7, state)})
+			is.Equal(d.Self().GetIncarnation(), uint64(8))
+			is.Equal(d.Self().GetState(), pb.MemberState_MEMBER_STATE_ALIVE)
+			d.Learn(time.Unix(1, 0), []*pb.Member{member("self", "10.0.0.1:7300", 90, 20, state)})
+			is.Equal(d.Self().GetIncarnation(), uint64(8)) // said of the predecessor
+		})
+	}
+}
+
+func TestNamesakes(t *testing.T) {
+	is := is.New(t)
+	d := newDetector()
+	alive := pb.MemberState_MEMBER_STATE_ALIVE
+	d.Learn(time.Unix(1, 0), []*pb.Member{member("self", "10.0.0.1:7300", 200, 4, alive)})
+	is.Equal(d.Self().GetStartedAt(), int64(201)) // the predecessor's clock ran ahead; this process has the address
+	is.Equal(len(d.Members()), 1)
+	d.Learn(time.Unix(1, 0), []*pb.Member{member("self", "10.0.0.9:7300", 300, 1, alive)})
+	is.Equal(len(d.Members()), 0) // replaced elsewhere: takes no more work
+}
+
+func TestSuspicionEndsInDeathUnlessRefuted(t *testing.T) {
+	for _, refuted := range []bool{false, true} {
+		t.Run(fmt.Sprint(refuted), func(t *testing.T) {
+			is := is.New(t)
+			d := newDetector()
+			now := time.Unix(1000, 0)
+			peer := member("peer", "10.0.0.2:7300", 50, 1, pb.MemberState_MEMBER_STATE_ALIVE)
+			d.Learn(now, []*pb.Member{peer})
+			targets := d.Next(now)
+			is.Equal(len(targets), 1)
+			d.Failed(now, targets[0])
+			is.Equal(len(d.Members()), 2) // a suspect still is a member
+			if refuted {
+				d.Learn(now, []*pb.Member{member("peer", "10.0.0.2:7300", 50, 2, pb.MemberState_MEMBER_STATE_ALIVE)})
+			}
+			is.Equal(len(d.Expire(now.Add(suspicion))) == 0, refuted)
+			is.Equal(len(d.Members()) == 2, refuted)
+		})
+	}
+}
--- a/internal/view/prober/prober.go
+++ b/internal/view/prober/prober.go
@@ -1,21 +1,34 @@
-// Package prober keeps the view of live nodes. Candidates flow in from the platform's lagging list of
-// VMs and from what other nodes say; probes decide who is alive; the list of live members flows out.
+// Package prober keeps the view of live nodes. In each period it sends the probes that the detector
+// chooses, directly and, without an answer, through other nodes; messages carry rumours both ways. The
+// list of live members flows out. The decisions are the detector's; this package has the clock, the
+// goroutines and the messages.
 package prober
 
 import (
 	"context"
 	"log/slog"
-	"net"
-	"sort"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/quartz"
-	"google.golang.org/protobuf/proto"
 
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
-	"github.com/magnoliastep/magnoliastep/internal/platform/client"
+	"github.com/magnoliastep/magnoliastep/internal/view/detector"
+)
+
+const (
+	// relayCount is how many nodes are asked to probe a member that does not answer.
+	relayCount = 3
+	// maxRounds bounds the probes in flight.
+	maxRounds = 32
+	// pauseFactor times the probe period is a gap between ticks that only a paused process has.
+	pauseFactor = 4
+	// roundFactor times the probe timeout is the longest that a probe with its relays takes.
+	roundFactor = 4
 )
 
 type (
@@ -24,248 +37,284 @@
 		Call(ctx context.Context, address string, plane messenger.Plane, frame *pb.Frame) (*pb.Frame, error)
 	}
 
-	// VMLister reads the platform's list of VMs.
-	VMLister interface {
-		VMs(ctx context.Context) ([]client.VM, error)
-	}
-
 	// Config holds what a Prober needs.
 	Config struct {
-		// Self describes this node. Its state and load are kept up to date by the Prober.
+		// Self describes this node at its start.
 		Self      *pb.Member
 		Messenger Messenger
-		Lister    VMLister
 		Clock     quartz.Clock
 		Logger    *slog.Logger
-		// ProbePeriod is the time between two rounds of probes.
+		Asserter  *asserter.Asserter
+		// Metrics takes the view's metrics; nil means none.
+		Metrics *metrics.Set
+		Random  *rand.Rand
+		// ProbePeriod is the time between two probes.
 		ProbePeriod time.Duration
-		// ProbeTimeout bounds one probe.
+		// ProbeTimeout bounds one direct probe; a probe through others may take twice as long.
 		ProbeTimeout time.Duration
-		// SuspicionPeriod is how long a node that does not answer stays in the view.
+		// SuspicionPeriod is how long a node that does not answer stays in the view of a small fleet.
 		SuspicionPeriod time.Duration
-		// ListPeriod is the time between two readings of the VM list.
-		ListPeriod time.Duration
 		// SeedPeers are peer addresses known from the settings.
 		SeedPeers []string
 		// Load returns the requests in progress on this node.
 		Load func() uint32
+		// Dead is told the peer address of each node that was declared dead; nil means nobody is.
+		Dead func(address string)
 	}
 
 	// Prober is the view of live nodes. It is safe for concurrent use.
 	Prober struct {
 		config Config
+		// rounds has one token for each probe in flight.
+		rounds chan struct{}
 		mutex  sync.Mutex
-		self   *pb.Member
-		// peers has each other node by its peer address.
-		peers map[string]*peer
-		// members is sorted by name and holds only nodes that may be given work.
-		members    []*pb.Member
-		generation uint64
-	}
-
-	peer struct {
-		address string
-		member  *pb.Member
-		// answeredAt is when the peer last answered; zero when it never did.
-		answeredAt time.Time
+		// detector is guarded by mutex.
+		detector *detector.Detector
+		// logged is the generation that was logged last.
+		logged uint64
 	}
 )
 
 // New returns a Prober that knows only this node.
 func New(c Config) *Prober {
-	p := &Prober{config: c, self: c.Self, peers: map[string]*peer{}, generation: 1}
-	p.self.State = pb.MemberState_MEMBER_STATE_ALIVE
-	p.members = []*pb.Member{p.self}
-	for _, a := range c.SeedPeers {
-		p.peers[a] = &peer{address: a}
-	}
+	p := &Prober{config: c, rounds: make(chan struct{}, maxRounds), logged: 1}
+	p.detector = detector.New(detector.Config{
+		Self: c.Self, SuspicionPeriod: c.SuspicionPeriod, Seeds: c.SeedPeers, Random: c.Random, Asserter: c.Asserter,
+	})
+	p.register()
 	return p
 }
 
-// Run probes and reads the VM list until the context ends.
+// Run probes until the context ends.
 func (p *Prober) Run(ctx context.Context) {
-	probes := p.config.Clock.NewTicker(p.config.ProbePeriod)
-	defer probes.Stop()
-	lists := p.config.Clock.NewTicker(p.config.ListPeriod)
-	defer lists.Stop()
-	p.readList(ctx)
+	ticker := p.config.Clock.NewTicker(p.config.ProbePeriod)
+	defer ticker.Stop()
+	last := p.config.Clock.Now()
 	for {
-		p.probeAll(ctx)
+		now := p.config.Clock.Now()
+		if pause := now.Sub(last); pause > pauseFactor*p.config.ProbePeriod {
+			p.resume(now, pause)
+		}
+		last = now
+		p.startRounds(ctx, now)
 		select {
 		case <-ctx.Done():
 			return
-		case <-lists.C:
-			p.readList(ctx)
-		case <-probes.C:
+		case <-ticker.C:
 		}
 	}
 }
 
-// Members returns the nodes that may be given work, this one included unless it is leaving. The slice
-// must not be changed.
+// Members returns the nodes that may be given work, this one included unless it is leaving. Suspected
+// members are among them. The slice must not be changed.
 func (p *Prober) Members() []*pb.Member {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.members
+	return p.detector.Members()
 }
 
-// Generation changes whenever the members change.
+// Generation changes whenever a member comes, goes or moves.
 func (p *Prober) Generation() uint64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.generation
+	return p.detector.Generation()
+}
+
+// Joined tells whether any other node is known to be live.
+func (p *Prober) Joined() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.detector.Joined()
+}
+
+// Address returns the peer address of the named node, or an empty string.
+func (p *Prober) Address(name string) string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.detector.Address(name)
 }
 
-// Self returns what this node tells of itself.
-func (p *Prober) Self() *pb.Member {
+// AddCandidates takes peer addresses at which nodes may run.
+func (p *Prober) AddCandidates(addresses []string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.selfLocked()
+	for _, a := range addresses {
+		p.detector.AddCandidate(a)
+	}
 }
 
 // Leave tells the others that this node takes no new leaves and no new callers.
 func (p *Prober) Leave() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.self = proto.CloneOf(p.self)
-	p.self.State = pb.MemberState_MEMBER_STATE_LEAVING
-	p.self.Incarnation++
-	p.rebuildLocked()
+	p.detector.Leave()
+	p.logLocked()
 }
 
-// HandleProbe takes what the sender says and answers with this node's view.
-func (p *Prober) HandleProbe(rumours []*pb.Member) *pb.ProbeReply {
+// HandleProbe takes what the sender says and answers with rumours, or with everything for a new node.
+func (p *Prober) HandleProbe(m *pb.Probe) *pb.ProbeReply {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for _, m := range rumours {
-		p.learnLocked(m)
+	p.detector.Learn(p.config.Clock.Now(), m.GetRumours())
+	p.detector.ObserveDigest(m.GetViewDigest())
+	reply := &pb.ProbeReply{Reached: true, ViewDigest: p.detector.Digest()}
+	if m.GetEverything() {
+		reply.Rumours = p.detector.Everything()
+	} else {
+		reply.Rumours = p.detector.Rumours(senderAddress(m.GetRumours()))
 	}
-	p.rebuildLocked()
-	return &pb.ProbeReply{Reached: true, Rumours: p.rumoursLocked()}
+	return reply
 }
 
-func (p *Prober) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, p.config.ProbeTimeout)
-	defer cancel()
-	vms, err := p.config.Lister.VMs(ctx)
+// HandleIndirect probes the target on behalf of another node and passes on what it says.
+func (p *Prober) HandleIndirect(ctx context.Context, m *pb.IndirectProbe) *pb.ProbeReply {
+	p.mutex.Lock()
+	p.detector.Learn(p.config.Clock.Now(), m.GetRumours())
+	p.mutex.Unlock()
+	reply, err := p.probe(ctx, m.GetTarget())
 	if err != nil {
-		p.config.Logger.Warn("VM list not read", "error", err.Error())
-		return
+		return &pb.ProbeReply{}
 	}
-	_, port, _ := net.SplitHostPort(p.self.GetPeerAddress())
+	return &pb.ProbeReply{Reached: true, Rumours: reply.GetRumours()}
+}
+
+func (p *Prober) resume(now time.Time, pause time.Duration) {
+	p.config.Logger.Warn("process was paused", "pause", pause)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for _, v := range vms {
-		p.addLocked(net.JoinHostPort(v.IP, port))
-	}
+	p.detector.Resume(now)
 }
 
-func (p *Prober) addLocked(address string) {
-	if address == p.self.GetPeerAddress() || p.peers[address] != nil {
-		return
+func (p *Prober) startRounds(ctx context.Context, now time.Time) {
+	p.mutex.Lock()
+	p.detector.SetLoad(p.config.Load())
+	dead := p.detector.Expire(now)
+	targets := p.detector.Next(now)
+	p.logLocked()
+	p.mutex.Unlock()
+	for _, a := range dead {
+		p.config.Logger.Warn("node declared dead", "peer_address", a)
+		if p.config.Dead != nil {
+			p.config.Dead(a)
+		}
+	}
+	for _, t := range targets {
+		select {
+		case p.rounds <- struct{}{}:
+			go p.round(ctx, t, now)
+		default:
+		}
 	}
-	p.peers[address] = &peer{address: address}
 }
 
-// learnLocked takes a candidate that another node named; only a probe makes it a member.
-func (p *Prober) learnLocked(m *pb.Member) {
-	if m.GetPeerAddress() == "" {
+// round probes one target, directly first and through others then.
+func (p *Prober) round(ctx context.Context, t detector.Target, startedAt time.Time) {
+	defer func() { <-p.rounds }()
+	if _, err := p.probe(ctx, t.Address); err == nil || t.Name == "" {
 		return
 	}
-	p.addLocked(m.GetPeerAddress())
-	known := p.peers[m.GetPeerAddress()]
-	if known == nil || known.member.GetName() != m.GetName() || m.GetIncarnation() <= known.member.GetIncarnation() {
+	if p.probeThroughOthers(ctx, t) || ctx.Err() != nil {
 		return
 	}
-	known.member = m
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := p.config.Clock.Now()
+	if now.Sub(startedAt) > roundFactor*p.config.ProbeTimeout {
+		return // this process was paused meanwhile; the silence says nothing of the target
+	}
+	p.detector.Failed(now, t)
 }
 
-func (p *Prober) probeAll(ctx context.Context) {
+func (p *Prober) probe(ctx context.Context, address string) (*pb.ProbeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.config.ProbeTimeout)
+	defer cancel()
 	p.mutex.Lock()
-	addresses := make([]string, 0, len(p.peers))
-	for a := range p.peers {
-		addresses = append(addresses, a)
+	m := &pb.Probe{
+		Rumours:    p.detector.Rumours(address),
+		Everything: p.detector.WantsEverything(p.config.Clock.Now()),
+		ViewDigest: p.detector.Digest(),
 	}
-	rumours := p.rumoursLocked()
 	p.mutex.Unlock()
-	var probes sync.WaitGroup
-	for _, a := range addresses {
-		probes.Go(func() { p.probe(ctx, a, rumours) })
+	frame, err := p.config.Messenger.Call(ctx, address, messenger.PlaneControl,
+		&pb.Frame{Body: &pb.Frame_Probe{Probe: m}})
+	if err != nil {
+		return nil, err
 	}
-	probes.Wait()
+	reply := frame.GetProbeReply()
+	p.learn(reply.GetRumours())
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.rebuildLocked()
+	p.detector.ObserveDigest(reply.GetViewDigest())
+	return reply, nil
 }
 
-func (p *Prober) probe(ctx context.Context, address string, rumours []*pb.Member) {
-	ctx, cancel := context.WithTimeout(ctx, p.config.ProbeTimeout)
+// probeThroughOthers tells whether the target answered any of the relays.
+func (p *Prober) probeThroughOthers(ctx context.Context, t detector.Target) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*p.config.ProbeTimeout)
 	defer cancel()
-	frame := &pb.Frame{Body: &pb.Frame_Probe{Probe: &pb.Probe{Rumours: rumours}}}
-	reply, err := p.config.Messenger.Call(ctx, address, messenger.PlaneControl, frame)
-	if err != nil || reply.GetProbeReply() == nil {
-		return
-	}
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for _, m := range reply.GetProbeReply().GetRumours() {
-		if m.GetPeerAddress() != address {
-			p.learnLocked(m)
-			continue
-		}
-		if known := p.peers[address]; known != nil {
-			known.member = m
-			known.answeredAt = p.config.Clock.Now()
+	relays := p.detector.Relays(t.Address, relayCount)
+	p.mutex.Unlock()
+	answers := make(chan bool, len(relays))
+	for _, a := range relays {
+		go func() { answers <- p.askRelay(ctx, a, t.Address) }()
+	}
+	for range relays {
+		if <-answers {
+			return true
 		}
 	}
+	return false
 }
 
-// rumoursLocked returns this node and the live others.
-func (p *Prober) rumoursLocked() []*pb.Member {
-	rumours := []*pb.Member{p.selfLocked()}
-	for _, m := range p.members {
-		if m.GetName() != p.self.GetName() {
-			rumours = append(rumours, m)
-		}
+func (p *Prober) askRelay(ctx context.Context, relay, target string) bool {
+	p.mutex.Lock()
+	m := &pb.IndirectProbe{Target: target, Rumours: p.detector.Rumours(relay)}
+	p.mutex.Unlock()
+	frame, err := p.config.Messenger.Call(ctx, relay, messenger.PlaneControl,
+		&pb.Frame{Body: &pb.Frame_IndirectProbe{IndirectProbe: m}})
+	if err != nil || !frame.GetProbeReply().GetReached() {
+		return false
 	}
-	return rumours
+	p.learn(frame.GetProbeReply().GetRumours())
+	return true
 }
 
-func (p *Prober) selfLocked() *pb.Member {
-	self := proto.CloneOf(p.self)
-	self.Load = p.config.Load()
-	return self
+func (p *Prober) learn(rumours []*pb.Member) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.detector.Learn(p.config.Clock.Now(), rumours)
 }
 
-// rebuildLocked computes the members; the generation changes only with the set of their names.
-func (p *Prober) rebuildLocked() {
-	now := p.config.Clock.Now()
-	var members []*pb.Member
-	if p.self.GetState() == pb.MemberState_MEMBER_STATE_ALIVE {
-		members = append(members, p.self)
+func (p *Prober) logLocked() {
+	if g := p.detector.Generation(); g != p.logged {
+		p.logged = g
+		p.config.Logger.Info("view changed", "generation", g, "members", len(p.detector.Members()))
 	}
-	for _, k := range p.peers {
-		alive := !k.answeredAt.IsZero() && now.Sub(k.answeredAt) < p.config.SuspicionPeriod
-		if alive && k.member.GetState() == pb.MemberState_MEMBER_STATE_ALIVE {
-			members = append(members, k.member)
-		}
+}
+
+func (p *Prober) register() {
+	if p.config.Metrics == nil {
+		return
 	}
-	sort.Slice(members, func(i, j int) bool { return members[i].GetName() < members[j].GetName() })
-	if !sameMembers(members, p.members) {
-		p.generation++
-		p.config.Logger.Info("view changed", "generation", p.generation, "members", len(members))
+	gauge := func(name string, read func() float64) {
+		p.config.Metrics.NewGauge(name, func() float64 {
+			p.mutex.Lock()
+			defer p.mutex.Unlock()
+			return read()
+		})
 	}
-	p.members = members
+	gauge("magnoliastep_view_members", func() float64 { return float64(len(p.detector.Members())) })
+	gauge("magnoliastep_view_generation", func() float64 { return float64(p.detector.Generation()) })
+	gauge("magnoliastep_view_suspicions_total", func() float64 { return float64(p.detector.Counters().Suspicions) })
+	gauge("magnoliastep_view_deaths_total", func() float64 { return float64(p.detector.Counters().Deaths) })
+	gauge("magnoliastep_view_refutations_total", func() float64 { return float64(p.detector.Counters().Refutations) })
+	gauge("magnoliastep_view_pauses_total", func() float64 { return float64(p.detector.Counters().Resumptions) })
 }
 
-func sameMembers(a, b []*pb.Member) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i].GetName() != b[i].GetName() || a[i].GetPeerAddress() != b[i].GetPeerAddress() {
-			return false
-		}
+func senderAddress(rumours []*pb.Member) string {
+	if len(rumours) == 0 {
+		return ""
 	}
-	return true
+	return rumours[0].GetPeerAddress()
 }
