Spread the configuration from two relays in each availability zone

Cause: every node held a watch at the platform (1,000 waiting watches at the size ahead), and a node that saw another digest sent the versions of all objects, which at thousands of objects breaks 6 KB/s. Change: config/relayer decides the relays by rendezvous hashing and keeps a waiting pull open at one; the healer pulls what is newer than the revision that is complete here and compares exact versions only after three fruitless pulls, at most every 30 s; the watcher starts from that revision, lists in full when the platform's revisions went back and every 10 minutes.

--- a/internal/config/healer/healer.go
+++ b/internal/config/healer/healer.go
@@ -1,6 +1,8 @@
 // Package healer brings this node's configuration level with that of other nodes. The digest on every
-// frame received flows in; where it differs, the healer sends its versions to that node and takes the
-// newer objects that come back. A node without a platform gets its configuration this way.
+// frame received flows in; where it differs, the healer asks that node for what is newer than the
+// revision up to which this node has everything, and takes the objects that come back. Only when that
+// does not make the two level are the exact versions of all objects compared, and that rarely, because
+// it costs as much as there are objects. A node without a platform gets its configuration this way.
 package healer
 
 import (
@@ -8,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/quartz"
 
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
@@ -18,6 +21,10 @@
 	pullTimeout   = 2 * time.Second
 	pullPause     = 50 * time.Millisecond
 	queueCapacity = 64
+	maxRemembered = 4096
+	// exactAfter pulls in a row without effect are followed by a comparison of exact versions.
+	exactAfter = 3
+	exactGap   = 30 * time.Second
 )
 
 type (
@@ -29,13 +36,14 @@
 	// Keeper holds the configuration in force.
 	Keeper interface {
 		Digest() uint64
+		CompleteTo() int64
 		Versions() map[string]int64
 		Apply(objects []*pb.ConfigObject, completeTo int64) []*pb.ConfigObject
 	}
 
 	// View finds the address of a node.
 	View interface {
-		Members() []*pb.Member
+		Address(name string) string
 	}
 
 	// Config holds what a Healer needs.
@@ -44,36 +52,69 @@
 		Keeper    Keeper
 		View      View
 		Clock     quartz.Clock
+		// RepairPeriod is the shortest time between two pulls from a node while nothing has changed.
+		RepairPeriod time.Duration
+		// Metrics takes the healer's metrics; nil means none.
+		Metrics *metrics.Set
 	}
 
 	// Healer repairs differences between nodes. It is safe for concurrent use.
 	Healer struct {
 		config Config
 		queue  chan string
+		pulls  *metrics.Counter
+		exact  *metrics.Counter
 		mutex  sync.Mutex
 		// queued has the names in the queue, so that each stands there once.
 		queued map[string]bool
+		// tried has the last pull from each node; it is emptied when it grows too large.
+		tried map[string]attempt
+		// fruitless counts pulls in a row that brought nothing.
+		fruitless int
+		exactAt   time.Time
+	}
+
+	// attempt is a pull with the digests that caused it.
+	attempt struct {
+		theirs, ours uint64
+		at           time.Time
 	}
 )
 
 // New returns a Healer.
 func New(c Config) *Healer {
-	return &Healer{config: c, queue: make(chan string, queueCapacity), queued: map[string]bool{}}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewSet()
+	}
+	return &Healer{
+		config: c, queue: make(chan string, queueCapacity),
+		queued: map[string]bool{}, tried: map[string]attempt{},
+		pulls: c.Metrics.NewCounter("magnoliastep_config_repairs_total"),
+		exact: c.Metrics.NewCounter("magnoliastep_config_exact_repairs_total"),
+	}
 }
 
 // Observe takes the digest that a frame from another node carried. It does not block.
 func (h *Healer) Observe(from string, digest uint64) {
-	if digest == h.config.Keeper.Digest() {
+	ours := h.config.Keeper.Digest()
+	if digest == ours {
 		return
 	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.queued[from] {
+	now := h.config.Clock.Now()
+	last := h.tried[from]
+	same := last.theirs == digest && last.ours == ours && now.Sub(last.at) < h.config.RepairPeriod
+	if same || h.queued[from] {
 		return
 	}
 	select {
 	case h.queue <- from:
 		h.queued[from] = true
+		if len(h.tried) > maxRemembered {
+			clear(h.tried)
+		}
+		h.tried[from] = attempt{theirs: digest, ours: ours, at: now}
 	default:
 	}
 }
@@ -95,18 +136,40 @@
 }
 
 func (h *Healer) pull(ctx context.Context, from string) {
-	address := h.address(from)
+	address := h.config.View.Address(from)
 	if address == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	frame := &pb.Frame{Body: &pb.Frame_ConfigPull{ConfigPull: &pb.ConfigPull{Versions: h.config.Keeper.Versions()}}}
-	reply, err := h.config.Messenger.Call(ctx, address, messenger.PlaneControl, frame)
+	h.pulls.Inc()
+	reply, err := h.config.Messenger.Call(ctx, address, messenger.PlaneControl,
+		&pb.Frame{Body: &pb.Frame_ConfigPull{ConfigPull: h.question()}})
 	if err != nil {
 		return
 	}
-	h.config.Keeper.Apply(reply.GetConfigDelta().GetObjects(), 0)
+	taken := h.config.Keeper.Apply(reply.GetConfigDelta().GetObjects(), reply.GetConfigDelta().GetCompleteTo())
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if len(taken) > 0 || reply.GetConfigDigest() == h.config.Keeper.Digest() {
+		h.fruitless = 0
+		return
+	}
+	h.fruitless++
+}
+
+// question asks by revision, or by exact versions when revisions did not help.
+func (h *Healer) question() *pb.ConfigPull {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := h.config.Clock.Now()
+	if h.fruitless < exactAfter || now.Sub(h.exactAt) < exactGap {
+		return &pb.ConfigPull{AfterVersion: h.config.Keeper.CompleteTo()}
+	}
+	h.fruitless = 0
+	h.exactAt = now
+	h.exact.Inc()
+	return &pb.ConfigPull{Versions: h.config.Keeper.Versions()}
 }
 
 func (h *Healer) pause(ctx context.Context) {
@@ -117,12 +180,3 @@
 	case <-timer.C:
 	}
 }
-
-func (h *Healer) address(name string) string {
-	for _, m := range h.config.View.Members() {
-		if m.GetName() == name {
-			return m.GetPeerAddress()
-		}
-	}
-	return ""
-}
--- a/internal/config/keeper/keeper.go
+++ b/internal/config/keeper/keeper.go
@@ -30,13 +30,15 @@
 		objects map[string]*pb.ConfigObject
 		// completeTo is a platform revision up to which no object is missing.
 		completeTo int64
-		observers  []func(changed []*pb.ConfigObject)
+		// changed is closed and replaced after each change.
+		changed   chan struct{}
+		observers []func(changed []*pb.ConfigObject)
 	}
 )
 
 // New returns an empty Keeper.
 func New(c Config) *Keeper {
-	k := &Keeper{asserter: c.Asserter, objects: map[string]*pb.ConfigObject{}}
+	k := &Keeper{asserter: c.Asserter, objects: map[string]*pb.ConfigObject{}, changed: make(chan struct{})}
 	k.index.Store(indexer.New(nil))
 	return k
 }
@@ -104,6 +106,26 @@
 	return newer
 }
 
+// After returns the objects that are newer than the platform revision.
+func (k *Keeper) After(revision int64) []*pb.ConfigObject {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	var newer []*pb.ConfigObject
+	for _, o := range k.objects {
+		if o.GetVersion() > revision {
+			newer = append(newer, o)
+		}
+	}
+	return newer
+}
+
+// Changed returns a channel that is closed at the next change.
+func (k *Keeper) Changed() <-chan struct{} {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.changed
+}
+
 // Objects returns all objects, tombstones included.
 func (k *Keeper) Objects() []*pb.ConfigObject {
 	return k.NewerThan(nil)
@@ -124,6 +146,8 @@
 		return nil, nil
 	}
 	k.index.Store(indexer.New(k.allLocked()))
+	close(k.changed)
+	k.changed = make(chan struct{})
 	return taken, k.observers
 }
 
--- /dev/null
+++ b/internal/config/relayer/relayer_test.go
@@ -0,0 +1,237 @@
+package relayer_test
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	inForceLimit = 7 * time.Second // the letter's bound from acceptance to in force on the last node
+	startLimit   = time.Minute
+)
+
+// inForce counts the nodes that have the version of the zone or a newer one, of those that count.
+func (f *fleet) inForce(name string, version int64, counts func(n *node) bool) (have, all int) {
+	for _, n := range f.nodes {
+		if !counts(n) {
+			continue
+		}
+		all++
+		if n.keeper.Versions()[keyOf(name)] >= version {
+			have++
+		}
+	}
+	return have, all
+}
+
+// waitInForce returns how long the version takes to be in force on every node that counts, or the limit.
+func (f *fleet) waitInForce(limit time.Duration, name string, version int64, counts func(n *node) bool) time.Duration {
+	startedAt := time.Now()
+	for time.Since(startedAt) < limit {
+		if have, all := f.inForce(name, version, counts); have == all {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(startedAt)
+}
+
+func everyNode(*node) bool { return true }
+
+func upNode(n *node) bool { return !n.down.Load() }
+
+func (f *fleet) relays() []*node {
+	var relays []*node
+	for _, n := range f.nodes {
+		if n.relayer.IsRelay() {
+			relays = append(relays, n)
+		}
+	}
+	return relays
+}
+
+// fault is what happens around an accepted change, and which nodes must then have it in time.
+type fault struct {
+	name string
+	// before happens ahead of the change; accepted is called right after it.
+	before, accepted func(f *fleet)
+	counts           func(n *node) bool
+}
+
+func faults() []fault {
+	nothing := func(*fleet) {}
+	return []fault{
+		{"steady", nothing, nothing, everyNode},
+		{"relay killed", func(f *fleet) { f.relays()[0].down.Store(true) }, nothing, upNode},
+		{"all relays killed", func(f *fleet) {
+			for _, n := range f.relays() {
+				n.down.Store(true)
+			}
+			time.Sleep(3 * time.Second) // the view drops them
+			for _, n := range f.nodes {
+				n.dead.Store(n.down.Load())
+			}
+		}, nothing, upNode},
+		{"relay cut off from the platform", func(f *fleet) {
+			for _, n := range f.relays()[:2] {
+				n.cutOff.Store(true)
+			}
+		}, nothing, everyNode},
+		// The node that served the operator has the change at once; then the platform is gone.
+		{"outage after acceptance", nothing, func(f *fleet) { f.store.setOutage(true) }, everyNode},
+		{"node frozen", func(f *fleet) { f.nodes[7].down.Store(true) }, nothing, upNode},
+		{"zone cut off", func(f *fleet) {
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			f.blocked = func(from, to int) bool { return (from%zones == 0) != (to%zones == 0) }
+			for i := 0; i < len(f.nodes); i += zones {
+				f.nodes[i].cutOff.Store(true)
+			}
+		}, nothing, func(n *node) bool { return n.index%zones != 0 }},
+	}
+}
+
+// accept stores the change as the operators' side does: the node that served it applies it at once.
+func (f *fleet) accept(name string) int64 {
+	version := f.store.put(name)
+	for _, n := range f.nodes {
+		if upNode(n) && !n.cutOff.Load() && !n.relayer.IsRelay() {
+			n.keeper.Apply(configOf(name, version), 0)
+			break
+		}
+	}
+	return version
+}
+
+func TestChangeIsInForceInTime(t *testing.T) {
+	for _, c := range faults() {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t.Context(), 9, 1)
+				defer f.stop()
+				first := f.store.put("first")
+				is.True(f.waitInForce(startLimit, "first", first, everyNode) < startLimit)
+				time.Sleep(3 * time.Second)
+				c.before(f)
+				version := f.accept("second")
+				c.accepted(f)
+				took := f.waitInForce(2*inForceLimit, "second", version, c.counts)
+				t.Logf("in force on the last node after %v", took)
+				is.True(took < inForceLimit)
+				// When all is well again, every node has it and none was left out.
+				f.mutex.Lock()
+				f.blocked = func(int, int) bool { return false }
+				f.mutex.Unlock()
+				f.store.setOutage(false)
+				for _, n := range f.nodes {
+					n.down.Store(false)
+					n.dead.Store(false)
+					n.cutOff.Store(false)
+				}
+				is.True(f.waitInForce(2*inForceLimit, "second", version, everyNode) < inForceLimit)
+			})
+		})
+	}
+}
+
+func TestOnlyRelaysCallThePlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t.Context(), 30, 2)
+		defer f.stop()
+		version := f.store.put("first")
+		is.True(f.waitInForce(startLimit, "first", version, everyNode) < startLimit)
+		is.Equal(len(f.relays()), 2*zones)
+		before := f.store.calls
+		time.Sleep(10 * time.Minute)
+		rate := float64(f.store.calls-before) / 600
+		t.Logf("%.2f platform calls/s of 30 nodes, %d relays", rate, 2*zones)
+		is.True(rate < 2*zones*0.1) // a waiting watch lasts 20 s and a full list is made every 10 minutes
+	})
+}
+
+func TestRevisionGoingBackLosesNoObject(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t.Context(), 3, 3)
+		defer f.stop()
+		for i := range 20 {
+			f.store.put(fmt.Sprint("zone-", i))
+		}
+		is.True(f.waitInForce(startLimit, "zone-19", 20, everyNode) < startLimit)
+		f.store.mutex.Lock()
+		f.store.revision = 5 // restored from an older state; objects that follow have lower versions
+		f.store.mutex.Unlock()
+		version := f.store.put("late")
+		is.Equal(version, int64(6))
+		is.True(f.waitInForce(startLimit, "late", version, everyNode) < startLimit)
+	})
+}
+
+// TestMeasureInForce prints a table when MAGNOLIASTEP_MEASURE names sizes, for example 9,30,100,300.
+func TestMeasureInForce(t *testing.T) {
+	sizes := os.Getenv("MAGNOLIASTEP_MEASURE")
+	if sizes == "" {
+		t.Skip("MAGNOLIASTEP_MEASURE is not set")
+	}
+	t.Logf("%6s %-32s %8s %8s %8s %10s %12s", "nodes", "fault", "p50 ms", "last ms", "runs", "calls/s", "bytes/s node")
+	for text := range strings.SplitSeq(sizes, ",") {
+		size, err := strconv.Atoi(text)
+		is.New(t).NoErr(err)
+		for _, c := range faults() {
+			synctest.Test(t, func(t *testing.T) { measureInForce(t, size, c) })
+		}
+	}
+}
+
+func measureInForce(t *testing.T, size int, c fault) {
+	const runs = 5
+	var times, last []time.Duration
+	var calls, bytes float64
+	for seed := range runs {
+		f := newFleet(t.Context(), size, uint64(seed))
+		f.waitInForce(startLimit, "first", f.store.put("first"), everyNode)
+		time.Sleep(time.Duration(3+seed) * time.Second)
+		callsBefore, bytesBefore := f.store.calls, f.bytes.Load()
+		time.Sleep(time.Minute)
+		calls += float64(f.store.calls-callsBefore) / 60 / runs
+		bytes += float64(f.bytes.Load()-bytesBefore) / 60 / runs / float64(size)
+		c.before(f)
+		startedAt := time.Now()
+		version := f.accept("second")
+		c.accepted(f)
+		seen := map[int]bool{}
+		for time.Since(startedAt) < 4*inForceLimit {
+			missing := 0
+			for _, n := range f.nodes {
+				if seen[n.index] || !c.counts(n) {
+					continue
+				}
+				if n.keeper.CompleteTo() >= version || n.keeper.Versions()[keyOf("second")] >= version {
+					seen[n.index] = true
+					times = append(times, time.Since(startedAt))
+				} else {
+					missing++
+				}
+			}
+			if missing == 0 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		last = append(last, time.Since(startedAt))
+		f.stop()
+	}
+	slices.Sort(times)
+	t.Logf("%6d %-32s %8d %8d %8d %10.2f %12.1f", size, c.name, times[len(times)/2].Milliseconds(),
+		slices.Max(last).Milliseconds(), runs, calls, bytes)
+}
--- a/internal/config/watcher/watcher.go
+++ b/internal/config/watcher/watcher.go
@@ -1,6 +1,7 @@
-// Package watcher brings the configuration from the platform to the keeper: one list at the start, then
-// a waiting watch. While the platform is down it tries again with growing, jittered pauses and the
-// keeper's objects stay in force.
+// Package watcher brings the configuration from the platform to the keeper on the few nodes that relay it:
+// one list when nothing is known, then a waiting watch. While the platform is down it tries again with
+// growing, jittered pauses and the keeper's objects stay in force. A platform whose revisions went back
+// is listed in full, and so it is from time to time, so that no object can be missed for long.
 package watcher
 
 import (
@@ -20,6 +21,8 @@
 
 const (
 	watchWait       = 20 * time.Second
+	idlePause       = 200 * time.Millisecond
+	listGap         = 10 * time.Minute
 	maxRetryPause   = 5 * time.Second
 	firstRetryPause = 100 * time.Millisecond
 )
@@ -34,6 +37,7 @@
 	// Keeper takes objects.
 	Keeper interface {
 		Apply(objects []*pb.ConfigObject, completeTo int64) []*pb.ConfigObject
+		CompleteTo() int64
 	}
 
 	// Config holds what a Watcher needs.
@@ -44,17 +48,27 @@
 		Logger *slog.Logger
 		// Active tells whether this node is to watch now; nil means always.
 		Active func() bool
+		// MaxPause bounds the pause between attempts; nil means 5 s.
+		MaxPause func() time.Duration
 	}
 
 	// Watcher follows the platform's objects.
 	Watcher struct {
 		config    Config
 		reachable atomic.Bool
+		// listedAt is when everything was listed last; zero asks for it now.
+		listedAt time.Time
 	}
 )
 
 // New returns a Watcher.
 func New(c Config) *Watcher {
+	if c.Active == nil {
+		c.Active = func() bool { return true }
+	}
+	if c.MaxPause == nil {
+		c.MaxPause = func() time.Duration { return maxRetryPause }
+	}
 	return &Watcher{config: c}
 }
 
@@ -67,35 +81,62 @@
 func (w *Watcher) Run(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval = firstRetryPause
-	pause.MaxInterval = maxRetryPause
-	var revision int64
 	for ctx.Err() == nil {
-		next, err := w.step(ctx, revision)
+		if !w.config.Active() {
+			w.sleep(ctx, idlePause)
+			continue
+		}
+		err := w.step(ctx)
 		if err == nil {
-			w.reachable.Store(true)
-			revision = next
+			if !w.reachable.Swap(true) {
+				w.config.Logger.Info("platform reachable", "revision", w.config.Keeper.CompleteTo())
+			}
 			pause.Reset()
 			continue
 		}
+		pause.MaxInterval = w.config.MaxPause()
+		next := pause.NextBackOff()
 		if w.reachable.Swap(false) {
-			w.config.Logger.Warn("platform not reachable", "error", err.Error())
+			w.config.Logger.Warn("platform not reachable", "error", err.Error(), "pause", next)
 		}
-		w.sleep(ctx, pause.NextBackOff())
+		w.sleep(ctx, next)
 	}
 }
 
-// step reads everything when nothing is known yet, and what is newer otherwise.
-func (w *Watcher) step(ctx context.Context, revision int64) (int64, error) {
-	var listing client.Listing
-	var err error
-	if revision == 0 {
-		listing, err = w.config.Store.List(ctx, "")
-	} else {
-		listing, err = w.config.Store.Watch(ctx, revision, watchWait)
+// step reads everything when nothing is known yet or the last list is old, and what is newer otherwise.
+func (w *Watcher) step(ctx context.Context) error {
+	revision := w.config.Keeper.CompleteTo()
+	now := w.config.Clock.Now()
+	if w.listedAt.IsZero() && revision > 0 {
+		w.listedAt = now // another node gave everything to this one
 	}
+	if revision == 0 || now.Sub(w.listedAt) > listGap {
+		listing, err := w.config.Store.List(ctx, "")
+		if err != nil {
+			return err
+		}
+		w.listedAt = now
+		w.apply(listing)
+		if listing.Revision > 0 {
+			return nil
+		}
+		w.sleep(ctx, idlePause) // an empty store has no revision to watch from
+		return nil
+	}
+	listing, err := w.config.Store.Watch(ctx, revision, watchWait)
 	if err != nil {
-		return 0, err
+		return err
+	}
+	if listing.Revision < revision {
+		w.config.Logger.Error("platform's revision went back", "before", revision, "now", listing.Revision)
+		w.listedAt = now.Add(-2 * listGap)
+		w.sleep(ctx, idlePause)
 	}
+	w.apply(listing)
+	return nil
+}
+
+func (w *Watcher) apply(listing client.Listing) {
 	objects := make([]*pb.ConfigObject, 0, len(listing.Objects))
 	for _, o := range listing.Objects {
 		decoded, err := Decode(o)
@@ -106,7 +147,6 @@
 		objects = append(objects, decoded)
 	}
 	w.config.Keeper.Apply(objects, listing.Revision)
-	return max(1, listing.Revision), nil
 }
 
 // Decode returns the configuration object that the platform's object holds, with its version.
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -17,6 +17,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
 	"github.com/magnoliastep/magnoliastep/internal/config/healer"
 	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
+	"github.com/magnoliastep/magnoliastep/internal/config/relayer"
 	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
@@ -70,6 +71,7 @@
 		keeper     *keeper.Keeper
 		watcher    *watcher.Watcher
 		healer     *healer.Healer
+		relayer    *relayer.Relayer
 		messenger  *messenger.Messenger
 		prober     *prober.Prober
 		lister     *lister.Lister
@@ -89,7 +91,6 @@
 	n := &Node{config: c, metrics: metrics.NewSet()}
 	n.asserter = asserter.New(asserter.Config{Logger: c.Logger, Fatal: c.Settings.GetFatalInvariants()})
 	n.keeper = keeper.New(keeper.Config{Asserter: n.asserter})
-	n.watcher = watcher.New(watcher.Config{Store: c.Store, Keeper: n.keeper, Clock: c.Clock, Logger: c.Logger})
 	n.messenger = messenger.New(messenger.Config{
 		NodeName:      c.Settings.GetNodeName(),
 		Handler:       n,
@@ -113,7 +114,7 @@
 	defer stopLoops()
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
-		n.watcher.Run, n.healer.Run, n.prober.Run, n.lister.Run, n.dispatcher.Run, n.tracker.Run,
+		n.watcher.Run, n.relayer.Run, n.healer.Run, n.prober.Run, n.lister.Run, n.dispatcher.Run, n.tracker.Run,
 	} {
 		loops.Go(func() { run(loopContext) })
 	}
--- a/internal/node/assembler/frames.go
+++ b/internal/node/assembler/frames.go
@@ -25,7 +25,7 @@
 		r := n.prober.HandleIndirect(ctx, body.IndirectProbe)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ProbeReply{ProbeReply: r}})
 	case *pb.Frame_ConfigPull:
-		delta := &pb.ConfigDelta{Objects: n.keeper.NewerThan(body.ConfigPull.GetVersions())}
+		delta := n.relayer.HandlePull(ctx, body.ConfigPull, f.GetConfigDigest())
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ConfigDelta{ConfigDelta: delta}})
 	case *pb.Frame_LeafStatusPull:
 		statuses := &pb.LeafStatuses{Statuses: n.dispatcher.Statuses()}
--- a/internal/node/assembler/view.go
+++ b/internal/node/assembler/view.go
@@ -3,16 +3,24 @@
 import (
 	"math/rand/v2"
 	"net"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/magnoliastep/magnoliastep/internal/config/healer"
+	"github.com/magnoliastep/magnoliastep/internal/config/relayer"
+	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/view/lister"
 	"github.com/magnoliastep/magnoliastep/internal/view/placer"
 	"github.com/magnoliastep/magnoliastep/internal/view/prober"
 )
 
+const (
+	relayPause = 5 * time.Second
+	alonePause = 15 * time.Second
+)
+
 // assembleView builds the membership, the placement of leaves and the repair of configuration.
 func (n *Node) assembleView() {
 	s := n.config.Settings
@@ -33,14 +41,33 @@
 	n.lister = lister.New(lister.Config{
 		VMs: n.config.Store, Clock: n.config.Clock, Logger: n.config.Logger, Random: n.random("lister"),
 		Period: t.GetListPeriod().AsDuration(), PeerPort: port, Found: n.prober.AddCandidates,
-		Active: func() bool { return true },
+		Active: func() bool { return !n.prober.Joined() || n.relayer.IsRelay() },
 	})
 	n.healer = healer.New(healer.Config{
 		Messenger: n.messenger, Keeper: n.keeper, View: n.prober, Clock: n.config.Clock,
+		RepairPeriod: t.GetRepairPeriod().AsDuration(), Metrics: n.metrics,
+	})
+	n.relayer = relayer.New(relayer.Config{
+		NodeName: s.GetNodeName(), AvailabilityZone: s.GetAvailabilityZone(), Messenger: n.messenger,
+		View: n.prober, Keeper: n.keeper, LeavingVMs: n.lister, Clock: n.config.Clock, Logger: n.config.Logger,
+		Random: n.random("relayer"), Metrics: n.metrics,
+	})
+	n.watcher = watcher.New(watcher.Config{
+		Store: n.config.Store, Keeper: n.keeper, Clock: n.config.Clock, Logger: n.config.Logger,
+		Active: n.relayer.IsRelay, MaxPause: n.platformPause,
 	})
 	n.placer = placer.New(placer.Config{View: n.prober, Source: n.keeper})
 }
 
+// platformPause bounds the pause between attempts to reach the platform. A node that knows no other one
+// waits longer: after a restart of all nodes every one of them is alone at first.
+func (n *Node) platformPause() time.Duration {
+	if n.prober.Joined() {
+		return relayPause
+	}
+	return alonePause
+}
+
 // random returns a source of its own for one part: each part draws under its own lock.
 func (n *Node) random(part string) *rand.Rand {
 	seed := xxhash.Sum64String(n.config.Settings.GetNodeName() + "/" + part)
--- a/internal/view/lister/lister.go
+++ b/internal/view/lister/lister.go
@@ -24,6 +24,8 @@
 	stateLeaving = "leaving"
 	readTimeout  = 2 * time.Second
 	maxPause     = 30 * time.Second
+	idlePause    = 250 * time.Millisecond
+	startSpread  = 500 * time.Millisecond
 )
 
 type (
@@ -68,14 +70,17 @@
 // Run reads the list until the context ends. Failed readings are repeated with growing pauses.
 func (l *Lister) Run(ctx context.Context) {
 	pause := l.config.Period
+	l.sleep(ctx, time.Duration(l.config.Random.Int64N(int64(startSpread))))
 	for ctx.Err() == nil {
-		if l.config.Active() {
-			if err := l.read(ctx); err != nil {
-				pause = min(2*pause, maxPause)
-				l.config.Logger.Warn("VM list not read", "error", err.Error(), "pause", pause)
-			} else {
-				pause = l.config.Period
-			}
+		if !l.config.Active() {
+			l.sleep(ctx, idlePause)
+			continue
+		}
+		if err := l.read(ctx); err != nil {
+			pause = min(2*pause, maxPause)
+			l.config.Logger.Warn("VM list not read", "error", err.Error(), "pause", pause)
+		} else {
+			pause = l.config.Period
 		}
 		l.sleep(ctx, pause/2+time.Duration(l.config.Random.Int64N(int64(pause))))
 	}
--- a/internal/view/prober/fleet_test.go
+++ b/internal/view/prober/fleet_test.go
@@ -202,6 +202,19 @@
 	return count
 }
 
+// suspects counts the members that are suspected in any view.
+func suspects(nodes []*node) int {
+	count := 0
+	for _, n := range nodes {
+		for _, m := range n.prober.Members() {
+			if m.GetState() == pb.MemberState_MEMBER_STATE_SUSPECT {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func complete(nodes []*node, size int) bool {
 	for _, n := range nodes {
 		if len(n.prober.Members()) != size {
--- a/internal/view/prober/prober_test.go
+++ b/internal/view/prober/prober_test.go
@@ -72,6 +72,7 @@
 		for range 600 {
 			time.Sleep(100 * time.Millisecond)
 			is.True(complete(nodes, 9)) // others vouch for both ends of the cut
+			is.Equal(suspects(nodes), 0)
 		}
 	})
 }
