--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -19,6 +19,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
 	"github.com/magnoliastep/magnoliastep/internal/config/healer"
 	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
+	"github.com/magnoliastep/magnoliastep/internal/config/relayer"
 	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
@@ -30,6 +31,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/peer/router"
 	"github.com/magnoliastep/magnoliastep/internal/platform/client"
+	"github.com/magnoliastep/magnoliastep/internal/view/lister"
 	"github.com/magnoliastep/magnoliastep/internal/view/placer"
 	"github.com/magnoliastep/magnoliastep/internal/view/prober"
 )
@@ -70,8 +72,10 @@
 		keeper     *keeper.Keeper
 		watcher    *watcher.Watcher
 		healer     *healer.Healer
+		relayer    *relayer.Relayer
 		messenger  *messenger.Messenger
 		prober     *prober.Prober
+		lister     *lister.Lister
 		placer     *placer.Placer
 		dispatcher *dispatcher.Dispatcher
 		tracker    *tracker.Tracker
@@ -90,7 +94,6 @@
 	n := &Node{config: c, metrics: metrics.NewSet()}
 	n.asserter = asserter.New(asserter.Config{Logger: c.Logger, Fatal: c.Settings.GetFatalInvariants()})
 	n.keeper = keeper.New(keeper.Config{Asserter: n.asserter})
-	n.watcher = watcher.New(watcher.Config{Store: c.Store, Keeper: n.keeper, Clock: c.Clock, Logger: c.Logger})
 	n.messenger = messenger.New(messenger.Config{
 		NodeName:      c.Settings.GetNodeName(),
 		Handler:       n,
@@ -114,7 +117,7 @@
 	defer stopLoops()
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
-		n.watcher.Run, n.healer.Run, n.prober.Run, n.dispatcher.Run, n.tracker.Run,
+		n.watcher.Run, n.relayer.Run, n.healer.Run, n.prober.Run, n.lister.Run, n.dispatcher.Run, n.tracker.Run,
 	} {
 		loops.Go(func() { run(loopContext) })
 	}
