Refuse only under a director's grant, and wake directors

Cause: nothing woke directors, AgreeToRefusal was not served, and nothing bounded what a node reads from callers. Change: a tally of each class's misses at the entry; one paging node a class by rendezvous that posts until answered and is replaced with the same page id; agreement by a director whom the service names, bounded in share and lifetime; the admitter, the only place that may refuse; requests beyond max_in_progress wait unread; panics of one request are answered, violated invariants end the process also under net/http; stepctl agree, revoke, pages. Bad input of callers: every wrong field named; each case with code, log line, counter, test. Found on the way: an error message with broken UTF-8 ended in an answer without a code.

--- a/internal/command/controller/controller.go
+++ b/internal/command/controller/controller.go
@@ -54,6 +54,9 @@
 		Zone      zoneVerb      `cmd:"" help:"Take an availability zone out of service, or bring it back."`
 		Change    changeVerb    `cmd:"" help:"Ask whether a change was accepted."`
 		Audit     auditVerb     `cmd:"" help:"Show who changed what, when and why."`
+		Pages     pagesVerb     `cmd:"" help:"List the newest page of each class."`
+		Agree     agreeVerb     `cmd:"" help:"Answer a page: agree to refusals of a class, or say no (directors)."`
+		Revoke    revokeVerb    `cmd:"" help:"End a grant at once."`
 		RequestID requestIDVerb `cmd:"" name:"request-id" help:"Print a new request id (UUIDv7)."`
 		Status    statusVerb    `cmd:"" help:"Show a node's state and its view of the others."`
 	}
--- a/internal/command/controller/files_test.go
+++ b/internal/command/controller/files_test.go
@@ -43,7 +43,7 @@
 	s := httptest.NewServer(server.New(server.Config{
 		Authorizer: authorizer.New(authorizer.Config{Source: k, BootstrapHash: indexer.HashCredential("bootstrap-token")}),
 		Applier:    applier.New(applier.Config{Store: store, Keeper: k, Clock: clock}),
-		Store:      store, Keeper: k, Status: noStatus{}, Logger: slog.New(slog.DiscardHandler),
+		Store:      store, Keeper: k, Status: noStatus{}, Clock: clock, Logger: slog.New(slog.DiscardHandler),
 	}).Handler())
 	t.Cleanup(s.Close)
 	t.Setenv("STEPCTL_NODE", addressOf(s))
@@ -114,3 +114,23 @@
 	is.True(strings.Contains(failures, "first"))
 	is.True(strings.Contains(failures, "stepctl get availability_zone/a"))
 }
+
+func TestDirectorsAnswerAPage(t *testing.T) {
+	is := is.New(t)
+	newNode(t)
+	run("", "apply", "-f", demoFile, "--reason", "t")
+	agree := []string{"agree", "towpath-desk/stalls", "--share", "0.2", "--lifetime", "15m", "--reason", "peak"}
+	code, _, failures := run("", agree...)
+	is.Equal(code, 6) // operator-1 is no director
+	is.True(strings.HasPrefix(failures, "stepctl: "))
+	code, output, failures := run("", append([]string{"--token", "director-1-token"}, agree...)...)
+	is.Equal(failures, "")
+	is.Equal(code, 0)
+	is.True(strings.HasPrefix(output, "grant/towpath-desk.stalls: version "))
+	_, output, _ = run("", "pages")
+	is.True(strings.Contains(output, "agreed"))
+	code, _, _ = run("", "--token", "director-1-token", "revoke", "towpath-desk/stalls", "--reason", "over")
+	is.Equal(code, 0)
+	_, output, _ = run("", "audit", "grant/towpath-desk.stalls")
+	is.Equal(strings.Count(output, "\n"), 3) // header, agreement, revocation
+}
--- a/internal/config/indexer/indexer.go
+++ b/internal/config/indexer/indexer.go
@@ -22,6 +22,8 @@
 		callers   map[string]*pb.Caller
 		operators map[string]*pb.Operator
 		grants    map[string]*pb.Grant
+		// pages has the newest page of each class by the class's name in keys.
+		pages map[string]*pb.Page
 		// leaves holds each leaf of each service once.
 		leaves map[string]LeafEntry
 		// callersByHash and operatorsByHash have lower-case hex SHA-256 keys.
@@ -45,6 +47,7 @@
 		callers:         map[string]*pb.Caller{},
 		operators:       map[string]*pb.Operator{},
 		grants:          map[string]*pb.Grant{},
+		pages:           map[string]*pb.Page{},
 		leaves:          map[string]LeafEntry{},
 		callersByHash:   map[string]*pb.Caller{},
 		operatorsByHash: map[string]*pb.Operator{},
@@ -84,6 +87,25 @@
 	return x.classes[keyer.ClassName(service, class)]
 }
 
+// Classes returns all classes, ordered by service and name.
+func (x *Index) Classes() []*pb.Class {
+	names := make([]string, 0, len(x.classes))
+	for n := range x.classes {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	classes := make([]*pb.Class, 0, len(names))
+	for _, n := range names {
+		classes = append(classes, x.classes[n])
+	}
+	return classes
+}
+
+// Page returns the newest page of the class, or nil.
+func (x *Index) Page(service, class string) *pb.Page {
+	return x.pages[keyer.ClassName(service, class)]
+}
+
 // Operator returns the named operator, or nil.
 func (x *Index) Operator(name string) *pb.Operator { return x.operators[name] }
 
@@ -149,6 +171,8 @@
 		x.operatorsByHash[s.Operator.GetCredentialHash()] = s.Operator
 	case *pb.ConfigObject_Grant:
 		x.grants[s.Grant.GetName()] = s.Grant
+	case *pb.ConfigObject_Page:
+		x.pages[keyer.ClassName(s.Page.GetService(), s.Page.GetClass())] = s.Page
 	}
 }
 
--- a/internal/config/keyer/keyer.go
+++ b/internal/config/keyer/keyer.go
@@ -57,7 +57,7 @@
 	case *pb.ConfigObject_Grant:
 		return Join(KindGrant, s.Grant.GetName())
 	case *pb.ConfigObject_Page:
-		return Join(KindPage, s.Page.GetPageId())
+		return Join(KindPage, ClassName(s.Page.GetService(), s.Page.GetClass()))
 	case *pb.ConfigObject_ChangeArchive:
 		return Join(KindChangeArchive, archiveName(s.ChangeArchive))
 	default:
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -5,28 +5,22 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
-	"strings"
 	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"github.com/coder/quartz"
 	"github.com/kataras/iris/v12"
-	"google.golang.org/protobuf/encoding/protojson"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
+	"github.com/magnoliastep/magnoliastep/internal/entry/throttler"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/result/coder"
 )
 
-const (
-	contentTypeJSON = "application/json"
-	bearerPrefix    = "Bearer "
-)
-
 type (
 	// ConfigSource returns the configuration in force.
 	ConfigSource interface {
@@ -43,6 +37,16 @@
 		Submit(ctx context.Context, caller *pb.Caller, r *pb.SubmitRequest) (*pb.SubmitAnswer, error)
 	}
 
+	// Tallier counts the requests of each class.
+	Tallier interface {
+		Begin(class *pb.Class) (end func(coverage float64), cancel func())
+	}
+
+	// Admitter may refuse a request before anything was sent.
+	Admitter interface {
+		Admit(class *pb.Class) error
+	}
+
 	// Directory lists the addresses for callers.
 	Directory interface {
 		Entries() *pb.EntriesAnswer
@@ -54,21 +58,28 @@
 		Searcher        Searcher
 		Submitter       Submitter
 		Directory       Directory
+		Tallier         Tallier
+		Admitter        Admitter
+		Asserter        *asserter.Asserter
+		Clock           quartz.Clock
 		Metrics         *metrics.Set
 		Logger          *slog.Logger
 		MaxRequestBytes int64
+		// MaxInProgress bounds the requests that are read and answered at a time.
+		MaxInProgress int
 	}
 
 	// Server serves callers. It is safe for concurrent use.
 	Server struct {
 		config     Config
+		throttler  *throttler.Throttler
 		inProgress atomic.Int32
 	}
 )
 
 // New returns a Server.
 func New(c Config) *Server {
-	return &Server{config: c}
+	return &Server{config: c, throttler: throttler.New(throttler.Config{Limit: c.MaxInProgress, Clock: c.Clock})}
 }
 
 // Handler returns the HTTP handler of all caller routes.
@@ -95,43 +106,6 @@
 	s.write(c, s.config.Directory.Entries())
 }
 
-func (s *Server) search(c iris.Context) {
-	s.inProgress.Add(1)
-	defer s.inProgress.Add(-1)
-	request := &pb.SearchRequest{}
-	caller, err := s.read(c, request)
-	if err != nil {
-		s.reject(c, err)
-		return
-	}
-	answer, err := s.config.Searcher.Search(c.Request().Context(), caller, request)
-	if err != nil {
-		s.reject(c, err)
-		return
-	}
-	s.count("search", answer.GetCode())
-	s.write(c, answer)
-}
-
-func (s *Server) submit(c iris.Context) {
-	s.inProgress.Add(1)
-	defer s.inProgress.Add(-1)
-	request := &pb.SubmitRequest{}
-	caller, err := s.read(c, request)
-	if err != nil {
-		s.reject(c, err)
-		return
-	}
-	answer, err := s.config.Submitter.Submit(c.Request().Context(), caller, request)
-	if err != nil {
-		s.reject(c, err)
-		return
-	}
-	s.count("submit", answer.GetCode())
-	c.StatusCode(statusOf(answer.GetCode()))
-	s.write(c, answer)
-}
-
 func (s *Server) health(c iris.Context) {
 	if len(s.config.Source.Index().Services()) == 0 {
 		s.reject(c, coder.New(pb.ResultCode_RESULT_CODE_NO_CONFIG, "no configuration yet"))
@@ -144,48 +118,3 @@
 	c.ContentType("text/plain; version=0.0.4")
 	s.config.Metrics.WritePrometheus(c.ResponseWriter())
 }
-
-// read finds the caller and decodes the body strictly.
-func (s *Server) read(c iris.Context, request proto.Message) (*pb.Caller, error) {
-	credential, ok := strings.CutPrefix(c.GetHeader("Authorization"), bearerPrefix)
-	caller := s.config.Source.Index().CallerByCredential(credential)
-	if !ok || caller == nil {
-		return nil, coder.New(pb.ResultCode_RESULT_CODE_UNKNOWN_CALLER, "no caller has this credential")
-	}
-	body, err := io.ReadAll(io.LimitReader(c.Request().Body, s.config.MaxRequestBytes+1))
-	if err != nil {
-		return nil, coder.New(pb.ResultCode_RESULT_CODE_MALFORMED, "read request: %v", err)
-	}
-	if int64(len(body)) > s.config.MaxRequestBytes {
-		return nil, coder.New(pb.ResultCode_RESULT_CODE_REQUEST_TOO_LARGE,
-			"request exceeds %d bytes", s.config.MaxRequestBytes)
-	}
-	if err := protojson.Unmarshal(body, request); err != nil {
-		return nil, coder.New(pb.ResultCode_RESULT_CODE_MALFORMED, "decode request: %v", err)
-	}
-	return caller, nil
-}
-
-func (s *Server) reject(c iris.Context, err error) {
-	code := coder.Of(err)
-	s.count("reject", code)
-	s.config.Logger.Info("request rejected", "code", int(code), "path", c.Path(), "error", err.Error())
-	c.StatusCode(statusOf(code))
-	s.write(c, &pb.ErrorAnswer{Code: code, Message: err.Error()})
-}
-
-func (s *Server) write(c iris.Context, answer proto.Message) {
-	body, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: false}.Marshal(answer)
-	if err != nil {
-		s.config.Logger.Error("answer not encoded", "error", err.Error())
-		c.StatusCode(http.StatusInternalServerError)
-		return
-	}
-	c.ContentType(contentTypeJSON)
-	_, _ = c.Write(body)
-}
-
-func (s *Server) count(call string, code pb.ResultCode) {
-	name := `magnoliastep_answers_total{call="` + call + `",code="` + code.String() + `"}`
-	s.config.Metrics.GetOrCreateCounter(name).Inc()
-}
--- /dev/null
+++ b/internal/entry/tallier/tallier_test.go
@@ -0,0 +1,64 @@
+package tallier_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/magnoliastep/magnoliastep/internal/entry/tallier"
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+)
+
+func class() *pb.Class {
+	return &pb.Class{Name: "c", Service: "s", Lateness: durationpb.New(time.Second), CoverageFloor: 0.7}
+}
+
+func TestShort(t *testing.T) {
+	cases := map[string]struct {
+		took     time.Duration
+		coverage float64
+		count    int
+		short    bool
+	}{
+		"good answers":    {0, 1, 100, false},
+		"at the floor":    {0, 0.7, 100, false},
+		"under the floor": {0, 0.6, 100, true},
+		"too late":        {1001 * time.Millisecond, 1, 100, true},
+		"too few to tell": {0, 0, 9, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := quartz.NewMock(t)
+			y := tallier.New(tallier.Config{Clock: clock})
+			var ends []func(float64)
+			for range c.count {
+				end, _ := y.Begin(class())
+				ends = append(ends, end)
+			}
+			is.Equal(y.Demand("s", "c").InProgress, uint32(c.count))
+			clock.Advance(c.took).MustWait(context.Background())
+			for _, end := range ends {
+				end(c.coverage)
+			}
+			is.Equal(y.Demand("s", "c").InProgress, uint32(0))
+			is.Equal(y.Short("s", "c"), c.short)
+			clock.Advance(6 * time.Second).MustWait(context.Background())
+			is.Equal(y.Demand("s", "c"), tallier.Demand{}) // the window has passed
+		})
+	}
+}
+
+func TestARejectedRequestIsNoMiss(t *testing.T) {
+	is := is.New(t)
+	y := tallier.New(tallier.Config{Clock: quartz.NewMock(t)})
+	for range 100 {
+		_, cancel := y.Begin(class())
+		cancel()
+	}
+	is.Equal(y.Demand("s", "c"), tallier.Demand{})
+}
--- /dev/null
+++ b/internal/entry/throttler/throttler_test.go
@@ -0,0 +1,33 @@
+package throttler_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/matryer/is"
+
+	"github.com/magnoliastep/magnoliastep/internal/entry/throttler"
+)
+
+func TestWaitsForASlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := throttler.New(throttler.Config{Limit: 1, Clock: quartz.NewReal()})
+		ctx := context.Background()
+		is.True(h.Acquire(ctx, time.Second))
+		start := time.Now()
+		is.True(!h.Acquire(ctx, time.Second)) // its time is over before the slot is free
+		is.Equal(time.Since(start), time.Second)
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			h.Release()
+		}()
+		is.True(h.Acquire(ctx, time.Second))
+		ended, cancel := context.WithCancel(ctx)
+		cancel()
+		is.True(!h.Acquire(ended, time.Second)) // the caller has gone
+	})
+}
--- a/internal/invariant/asserter/asserter.go
+++ b/internal/invariant/asserter/asserter.go
@@ -19,6 +19,13 @@
 		Fatal bool
 	}
 
+	// Violation is the value of the panic that a violated invariant raises. Whoever recovers from panics
+	// must raise it again.
+	Violation struct {
+		name       string
+		attributes []any
+	}
+
 	// Asserter counts violated invariants. A nil Asserter panics on a violation.
 	Asserter struct {
 		logger     *slog.Logger
@@ -42,15 +49,20 @@
 		return true
 	}
 	if a == nil {
-		panic(fmt.Sprintf("invariant %s violated: %v", name, attributes))
+		panic(&Violation{name: name, attributes: attributes})
 	}
 	a.record(name, attributes)
 	if a.fatal {
-		panic(fmt.Sprintf("invariant %s violated: %v", name, attributes))
+		panic(&Violation{name: name, attributes: attributes})
 	}
 	return false
 }
 
+// Error describes the violation.
+func (v *Violation) Error() string {
+	return fmt.Sprintf("invariant %s violated: %v", v.name, v.attributes)
+}
+
 // Violations returns how many violations were recorded.
 func (a *Asserter) Violations() uint64 {
 	return a.violations.Load()
--- /dev/null
+++ b/internal/invariant/recoverer/recoverer.go
@@ -0,0 +1,76 @@
+// Package recoverer keeps a panic of one HTTP request from ending the node, and keeps net/http from hiding
+// a violated invariant. Requests flow through; a panic flows out as an answer with the code INTERNAL, a log
+// line and a counter, a violated invariant as the end of the process.
+package recoverer
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
+)
+
+type (
+	// Config holds what a Recoverer needs.
+	Config struct {
+		Handler http.Handler
+		Logger  *slog.Logger
+		Metrics *metrics.Set
+		// End ends the process; nil means a panic that nobody recovers.
+		End func(v *asserter.Violation)
+	}
+
+	// Recoverer is an HTTP handler around another.
+	Recoverer struct {
+		config Config
+		panics *metrics.Counter
+	}
+)
+
+// New returns a Recoverer.
+func New(c Config) *Recoverer {
+	if c.End == nil {
+		c.End = end
+	}
+	return &Recoverer{config: c, panics: c.Metrics.GetOrCreateCounter("magnoliastep_panics_total")}
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Recoverer) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	defer func() {
+		if p := recover(); p != nil {
+			r.handle(w, request, p)
+		}
+	}()
+	r.config.Handler.ServeHTTP(w, request)
+}
+
+func (r *Recoverer) handle(w http.ResponseWriter, request *http.Request, p any) {
+	err, isError := p.(error)
+	if isError && errors.Is(err, http.ErrAbortHandler) {
+		panic(p) // net/http's own way to cut a connection
+	}
+	var violation *asserter.Violation
+	if isError && errors.As(err, &violation) {
+		r.config.End(violation)
+		return
+	}
+	r.panics.Inc()
+	r.config.Logger.Error("request panicked", "path", request.URL.Path, "panic", fmt.Sprint(p),
+		"stack", string(debug.Stack()))
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = fmt.Fprintf(w, `{"code":%q,"message":"a fault in the program"}`, pb.ResultCode_RESULT_CODE_INTERNAL)
+}
+
+// end panics on a goroutine of its own, where net/http does not recover.
+func end(v *asserter.Violation) {
+	go func() { panic(v) }()
+	select {}
+}
--- /dev/null
+++ b/internal/invariant/recoverer/recoverer_test.go
@@ -0,0 +1,43 @@
+package recoverer_test
+
+import (
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/matryer/is"
+
+	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
+	"github.com/magnoliastep/magnoliastep/internal/invariant/recoverer"
+)
+
+// serve runs the handler behind a Recoverer and returns the answer and the violation that ended it.
+func serve(h http.HandlerFunc) (*httptest.ResponseRecorder, *asserter.Violation) {
+	var ended *asserter.Violation
+	r := recoverer.New(recoverer.Config{
+		Handler: h, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+		End: func(v *asserter.Violation) { ended = v },
+	})
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+	return w, ended
+}
+
+func TestAPanicIsAnswered(t *testing.T) {
+	is := is.New(t)
+	w, ended := serve(func(http.ResponseWriter, *http.Request) { panic("nil map") })
+	is.Equal(w.Code, http.StatusInternalServerError)
+	is.True(strings.Contains(w.Body.String(), "RESULT_CODE_INTERNAL"))
+	is.Equal(ended, nil)
+}
+
+func TestAViolatedInvariantEndsTheProcess(t *testing.T) {
+	is := is.New(t)
+	a := asserter.New(asserter.Config{Fatal: true})
+	_, ended := serve(func(http.ResponseWriter, *http.Request) { a.Check(false, "some_invariant") })
+	is.True(ended != nil)
+	is.True(strings.Contains(ended.Error(), "some_invariant"))
+}
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -18,12 +18,15 @@
 	"github.com/magnoliastep/magnoliastep/internal/config/healer"
 	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
 	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
+	"github.com/magnoliastep/magnoliastep/internal/entry/admitter"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
+	"github.com/magnoliastep/magnoliastep/internal/entry/tallier"
 	"github.com/magnoliastep/magnoliastep/internal/entry/tracker"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/dispatcher"
+	"github.com/magnoliastep/magnoliastep/internal/operator/pager"
 	operatorserver "github.com/magnoliastep/magnoliastep/internal/operator/server"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/peer/router"
@@ -79,6 +82,9 @@
 		submitter  *submitter.Submitter
 		entry      *entryserver.Server
 		operator   *operatorserver.Server
+		tallier    *tallier.Tallier
+		admitter   *admitter.Admitter
+		pager      *pager.Pager
 	}
 )
 
@@ -111,7 +117,7 @@
 	defer stopLoops()
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
-		n.watcher.Run, n.healer.Run, n.prober.Run, n.dispatcher.Run, n.tracker.Run,
+		n.watcher.Run, n.healer.Run, n.prober.Run, n.dispatcher.Run, n.tracker.Run, n.pager.Run,
 	} {
 		loops.Go(func() { run(loopContext) })
 	}
@@ -157,8 +163,8 @@
 	if err != nil {
 		return err
 	}
-	callers := n.httpServer(n.config.Settings.GetCallerAddress(), callerHandler)
-	operators := n.httpServer(n.config.Settings.GetOperatorAddress(), n.operator.Handler())
+	callers := n.callerServer(callerHandler)
+	operators := n.operatorServer(n.operator.Handler())
 	failures := make(chan error, 3)
 	go func() { failures <- n.messenger.Serve(peers) }()
 	go func() { failures <- errors.Wrap(n.listenAndServe(callers), "serve callers") }()
@@ -190,5 +196,8 @@
 }
 
 func (n *Node) httpServer(address string, h http.Handler) *http.Server {
-	return &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{
+		Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
 }
--- a/internal/node/assembler/entryside.go
+++ b/internal/node/assembler/entryside.go
@@ -2,9 +2,11 @@
 
 import (
 	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
+	"github.com/magnoliastep/magnoliastep/internal/entry/admitter"
 	"github.com/magnoliastep/magnoliastep/internal/entry/directory"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
+	"github.com/magnoliastep/magnoliastep/internal/entry/tallier"
 	"github.com/magnoliastep/magnoliastep/internal/entry/tracker"
 	"github.com/magnoliastep/magnoliastep/internal/peer/router"
 )
@@ -26,12 +28,19 @@
 		NodeName: name, Source: n.keeper, View: n.prober, Owners: n.placer, Statuses: n.tracker,
 		Router: n.router, Clock: n.config.Clock, Asserter: n.asserter, KeepFor: outcomeKeepFor,
 	})
+	n.tallier = tallier.New(tallier.Config{Clock: n.config.Clock, Metrics: n.metrics})
+	n.admitter = admitter.New(admitter.Config{
+		Source: n.keeper, Demand: n.tallier, Clock: n.config.Clock, Asserter: n.asserter, Metrics: n.metrics,
+	})
+	n.keeper.Observe(n.admitter.Observe)
 	n.entry = entryserver.New(entryserver.Config{
 		Source: n.keeper, Searcher: n.searcher, Submitter: n.submitter,
 		Directory: directory.New(directory.Config{
 			View: n.prober, Source: n.keeper, KeepFor: t.GetEntriesKeepFor().AsDuration(),
 		}),
+		Tallier: n.tallier, Admitter: n.admitter, Asserter: n.asserter, Clock: n.config.Clock,
 		Metrics: n.metrics, Logger: n.config.Logger,
 		MaxRequestBytes: int64(n.config.Settings.GetCallerLimits().GetMaxRequestBytes()),
+		MaxInProgress:   int(n.config.Settings.GetCallerLimits().GetMaxInProgress()),
 	})
 }
--- a/internal/node/assembler/frames.go
+++ b/internal/node/assembler/frames.go
@@ -24,6 +24,9 @@
 	case *pb.Frame_ConfigPull:
 		delta := &pb.ConfigDelta{Objects: n.keeper.NewerThan(body.ConfigPull.GetVersions())}
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ConfigDelta{ConfigDelta: delta}})
+	case *pb.Frame_DemandReport:
+		r := n.pager.HandleReport(f.GetFrom(), body.DemandReport)
+		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_DemandReply{DemandReply: r}})
 	case *pb.Frame_LeafStatusPull:
 		statuses := &pb.LeafStatuses{Statuses: n.dispatcher.Statuses()}
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_LeafStatuses{LeafStatuses: statuses}})
--- /dev/null
+++ b/internal/operator/pager/pager_test.go
@@ -0,0 +1,342 @@
+package pager_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/coder/quartz"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
+	"github.com/magnoliastep/magnoliastep/internal/entry/tallier"
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/operator/applier"
+	"github.com/magnoliastep/magnoliastep/internal/operator/pager"
+	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
+)
+
+type (
+	// fleet is some pagers with one configuration, one director and one platform.
+	fleet struct {
+		mutex  sync.Mutex
+		nodes  map[string]*node
+		keeper *keeper.Keeper
+		posts  []*pb.PageNotice
+		// postTimes has the time of each post.
+		postTimes []time.Time
+		version   int64
+		outage    bool
+		// directorDown makes every post fail.
+		directorDown bool
+		granted      bool
+	}
+
+	node struct {
+		fleet *fleet
+		name  string
+		pager *pager.Pager
+		stop  context.CancelFunc
+		short bool
+		dead  bool
+	}
+)
+
+func newFleet(count int, prefix string) *fleet {
+	f := &fleet{nodes: map[string]*node{}, keeper: keeper.New(keeper.Config{})}
+	f.put(&pb.ConfigObject{Spec: &pb.ConfigObject_Operator{
+		Operator: &pb.Operator{Name: "dora", WakeAddress: "http://dora/"},
+	}})
+	f.put(&pb.ConfigObject{Spec: &pb.ConfigObject_Service{
+		Service: &pb.Service{Name: "desk", Directors: []string{"dora"}},
+	}})
+	f.put(&pb.ConfigObject{Spec: &pb.ConfigObject_Class{Class: &pb.Class{Name: "search", Service: "desk"}}})
+	for i := range count {
+		n := &node{fleet: f, name: fmt.Sprintf("%s-%d", prefix, i)}
+		n.pager = pager.New(pager.Config{
+			NodeName: n.name, Source: f.keeper, View: f, Messenger: n, Demand: n, Grants: f, Applier: f, Poster: f,
+			Clock: quartz.NewReal(), Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
+		})
+		f.nodes[n.name] = n
+	}
+	return f
+}
+
+func (f *fleet) start() {
+	for _, n := range f.nodes {
+		ctx, cancel := context.WithCancel(context.Background())
+		n.stop = cancel
+		go n.pager.Run(ctx)
+	}
+}
+
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	synctest.Wait()
+}
+
+func (f *fleet) put(o *pb.ConfigObject) int64 {
+	f.version++
+	o.Version = f.version
+	f.keeper.Apply([]*pb.ConfigObject{o}, 0)
+	return f.version
+}
+
+func (f *fleet) Members() []*pb.Member {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var members []*pb.Member
+	for name, n := range f.nodes {
+		if !n.dead {
+			members = append(members, &pb.Member{Name: name, PeerAddress: name})
+		}
+	}
+	return members
+}
+
+// Apply is the platform.
+func (f *fleet) Apply(_ context.Context, c applier.Change) *pb.ChangeOutcome {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.outage {
+		return &pb.ChangeOutcome{Code: pb.ResultCode_RESULT_CODE_PLATFORM_UNAVAILABLE}
+	}
+	p := c.Object.GetPage()
+	if f.keeper.Index().Page(p.GetService(), p.GetClass()) != nil && c.ExpectedVersion == 0 {
+		return &pb.ChangeOutcome{Code: pb.ResultCode_RESULT_CODE_VERSION_CONFLICT}
+	}
+	return &pb.ChangeOutcome{Code: pb.ResultCode_RESULT_CODE_OK, Version: f.put(c.Object)}
+}
+
+// Do is the director's wake address.
+func (f *fleet) Do(r *http.Request) (*http.Response, error) {
+	body, _ := io.ReadAll(r.Body)
+	notice := &pb.PageNotice{}
+	if err := protojson.Unmarshal(body, notice); err != nil {
+		return nil, err
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.posts = append(f.posts, notice)
+	f.postTimes = append(f.postTimes, time.Now())
+	if f.directorDown {
+		return nil, errors.New("connection refused")
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(""))}, nil
+}
+
+func (f *fleet) GrantInForce(string, string) *pb.Grant {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.granted {
+		return &pb.Grant{}
+	}
+	return nil
+}
+
+// Call takes a report to another node.
+func (n *node) Call(_ context.Context, to string, _ messenger.Plane, frame *pb.Frame) (*pb.Frame, error) {
+	n.fleet.mutex.Lock()
+	target := n.fleet.nodes[to]
+	dead := target.dead
+	n.fleet.mutex.Unlock()
+	if dead {
+		return nil, messenger.ErrNotSent
+	}
+	reply := target.pager.HandleReport(n.name, frame.GetDemandReport())
+	return &pb.Frame{Body: &pb.Frame_DemandReply{DemandReply: reply}}, nil
+}
+
+func (n *node) Demand(string, string) tallier.Demand {
+	n.fleet.mutex.Lock()
+	defer n.fleet.mutex.Unlock()
+	if n.short {
+		return tallier.Demand{Requests: 100, Misses: 50, InProgress: 7}
+	}
+	return tallier.Demand{Requests: 100}
+}
+
+func (f *fleet) set(change func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	change()
+}
+
+func (f *fleet) allShort() {
+	f.set(func() {
+		for _, n := range f.nodes {
+			n.short = true
+		}
+	})
+}
+
+// posted returns the page ids and the posting nodes so far.
+func (f *fleet) posted() (ids, nodes map[string]int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	ids, nodes = map[string]int{}, map[string]int{}
+	for _, p := range f.posts {
+		ids[p.GetPageId()]++
+		nodes[p.GetNode()]++
+	}
+	return ids, nodes
+}
+
+// history returns all posts so far and their times.
+func (f *fleet) history() ([]*pb.PageNotice, []time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.posts), slices.Clone(f.postTimes)
+}
+
+func (f *fleet) answer(agreed bool, quiet time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.granted = agreed
+	f.put(&pb.ConfigObject{Spec: &pb.ConfigObject_Page{Page: &pb.Page{
+		PageId: f.posts[len(f.posts)-1].GetPageId(), Service: "desk", Class: "search", Answered: true, Agreed: agreed,
+		AnsweredAt: timestamppb.Now(), QuietFor: durationpb.New(quiet),
+	}}})
+}
+
+func TestNoPageWithoutNeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(5, "node")
+		f.start()
+		defer f.stop()
+		time.Sleep(time.Minute)
+		posts, _ := f.history()
+		is.New(t).Equal(len(posts), 0)
+	})
+}
+
+func TestOneNodePagesUntilAnswered(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		t.Run(fmt.Sprintf("director down %t", down), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(9, "node")
+				f.directorDown = down
+				f.start()
+				defer f.stop()
+				f.allShort()
+				time.Sleep(10 * time.Minute)
+				ids, nodes := f.posted()
+				is.Equal(len(ids), 1)   // one page
+				is.Equal(len(nodes), 1) // from one node
+				posts, times := f.history()
+				count := len(posts)
+				is.True(count >= 10)
+				is.Equal(posts[count-1].GetRequests(), uint32(900))        // all nodes' reports are summed up
+				is.True(times[count-1].Sub(times[count-2]) >= time.Minute) // with a growing pause
+				f.answer(true, 0)
+				time.Sleep(10 * time.Minute)
+				posts, _ = f.history()
+				is.Equal(len(posts), count) // and then no more
+			})
+		})
+	}
+}
+
+func TestPagesWithinSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(9, "node")
+		f.start()
+		defer f.stop()
+		f.set(func() { f.nodes["node-3"].short = true }) // one node alone is enough
+		time.Sleep(5 * time.Second)
+		posts, _ := f.history()
+		is.New(t).True(len(posts) > 0)
+	})
+}
+
+func TestANodeThatDiesIsReplacedWithTheSamePage(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		t.Run(fmt.Sprintf("platform outage %t", outage), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(9, "node")
+				f.outage = outage
+				f.start()
+				defer f.stop()
+				f.allShort()
+				time.Sleep(45 * time.Second)
+				for range 5 { // the paging node dies five times
+					_, nodes := f.posted()
+					f.set(func() {
+						for name := range nodes {
+							f.nodes[name].dead = true
+							f.nodes[name].short = false
+						}
+					})
+					for name := range nodes {
+						f.nodes[name].stop()
+					}
+					time.Sleep(45 * time.Second)
+				}
+				ids, nodes := f.posted()
+				is.Equal(len(nodes), 6) // another node took over each time
+				is.Equal(len(ids), 1)   // with the same page
+				stored := f.keeper.Index().Page("desk", "search")
+				is.Equal(stored != nil, !outage) // kept in the platform when it is up
+			})
+		})
+	}
+}
+
+func TestSplitViewsPageWithTheSameID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		left, right := newFleet(4, "left"), newFleet(4, "right")
+		left.outage, right.outage = true, true
+		left.start()
+		defer left.stop()
+		right.start()
+		defer right.stop()
+		time.Sleep(10 * time.Second) // away from the border of a bucket
+		left.allShort()
+		right.allShort()
+		time.Sleep(15 * time.Second)
+		leftIDs, _ := left.posted()
+		rightIDs, _ := right.posted()
+		is.Equal(len(leftIDs), 1)
+		for id := range leftIDs {
+			is.Equal(len(rightIDs), 1)
+			is.True(rightIDs[id] > 0) // both sides page with one id
+		}
+	})
+}
+
+func TestANoKeepsQuietForItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(5, "node")
+		f.start()
+		defer f.stop()
+		f.allShort()
+		time.Sleep(time.Minute)
+		f.answer(false, 10*time.Minute)
+		before, _ := f.history()
+		time.Sleep(9 * time.Minute)
+		after, _ := f.history()
+		is.Equal(len(after), len(before))
+		time.Sleep(2 * time.Minute)
+		ids, _ := f.posted()
+		is.Equal(len(ids), 2) // then a new page, because the class is still short
+	})
+}
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -8,7 +8,9 @@
 	"net/http"
 
 	"connectrpc.com/connect"
+	"github.com/coder/quartz"
 
+	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
 	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1/magnoliastepv1connect"
@@ -39,6 +41,7 @@
 
 	// Keeper holds the configuration in force.
 	Keeper interface {
+		Index() *indexer.Index
 		Objects() []*pb.ConfigObject
 		Apply(objects []*pb.ConfigObject, completeTo int64) []*pb.ConfigObject
 	}
@@ -55,6 +58,7 @@
 		Store      Store
 		Keeper     Keeper
 		Status     StatusSource
+		Clock      quartz.Clock
 		Logger     *slog.Logger
 	}
 
--- a/internal/operator/server/server_test.go
+++ b/internal/operator/server/server_test.go
@@ -4,15 +4,19 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/coder/quartz"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
 	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
+	"github.com/magnoliastep/magnoliastep/internal/config/keyer"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1/magnoliastepv1connect"
 	"github.com/magnoliastep/magnoliastep/internal/operator/applier"
@@ -56,7 +60,7 @@
 			Source: k, BootstrapHash: indexer.HashCredential("bootstrap-token"),
 		}),
 		Applier: applier.New(applier.Config{Store: store, Keeper: k, Clock: clock}),
-		Store:   store, Keeper: k, Status: noStatus{}, Logger: slog.New(slog.DiscardHandler),
+		Store:   store, Keeper: k, Status: noStatus{}, Clock: clock, Logger: slog.New(slog.DiscardHandler),
 	})
 	operators := httptest.NewServer(s.Handler())
 	t.Cleanup(operators.Close)
@@ -167,10 +171,11 @@
 	return operator(name, name, pb.Role_ROLE_DIRECTOR)
 }
 
-func service(name, zone string, directors ...string) *pb.ConfigObject {
+// desk returns service desk with one leaf in zone-a.
+func desk(directors ...string) *pb.ConfigObject {
 	return &pb.ConfigObject{Spec: &pb.ConfigObject_Service{Service: &pb.Service{
-		Name: name, PartitionCount: 1, Directors: directors, Leaves: []*pb.Leaf{{
-			Name: name + "-0", AvailabilityZone: zone, Address: "10.0.0.1:80", Slots: 1, ColdSlots: 1, Connections: 1,
+		Name: "desk", PartitionCount: 1, Directors: directors, Leaves: []*pb.Leaf{{
+			Name: "desk-0", AvailabilityZone: "zone-a", Address: "10.0.0.1:80", Slots: 1, ColdSlots: 1, Connections: 1,
 			Partitions: []uint32{0},
 		}},
 	}}}
@@ -180,7 +185,7 @@
 	is := is.New(t)
 	f := newFixture(t)
 	f.apply(t, "bootstrap-token", "c1", operator("op", "op", pb.Role_ROLE_OPERATOR), 0)
-	o := f.apply(t, "op", "c2", service("desk", "zone-a", "dora"), 0)
+	o := f.apply(t, "op", "c2", desk("dora"), 0)
 	is.Equal(o.GetCode(), invalid)
 	is.Equal(o.GetFieldErrors(), []string{
 		"leaves[0].availability_zone: availability_zone/zone-a does not exist",
@@ -198,7 +203,7 @@
 	f.apply(t, "bootstrap-token", "c1", operator("op", "op", pb.Role_ROLE_OPERATOR), 0)
 	f.apply(t, "op", "c2", zone("zone-a"), 0)
 	f.apply(t, "op", "c3", director("dora"), 0)
-	is.Equal(f.apply(t, "op", "c4", service("desk", "zone-a", "dora"), 0).GetCode(), ok)
+	is.Equal(f.apply(t, "op", "c4", desk("dora"), 0).GetCode(), ok)
 	for _, key := range []string{"availability_zone/zone-a", "operator/dora"} {
 		o := f.remove(t, "op", "d-"+key, key)
 		is.Equal(o.GetCode(), invalid)
@@ -219,5 +224,85 @@
 	for i, o := range []*pb.ConfigObject{zone("zone-a"), director("dora")} {
 		other.Apply(context.Background(), applier.Change{ID: fmt.Sprintf("o%d", i), ExpectedVersion: 0, Object: o})
 	}
-	is.Equal(f.apply(t, "op", "c2", service("desk", "zone-a", "dora"), 0).GetCode(), ok)
+	is.Equal(f.apply(t, "op", "c2", desk("dora"), 0).GetCode(), ok)
+}
+
+// newDesk returns a fixture with service desk, class desk/search and director dora; eve is a director
+// whom no service names.
+func newDesk(t *testing.T) *fixture {
+	t.Helper()
+	f := newFixture(t)
+	f.apply(t, "bootstrap-token", "s1", operator("op", "op", pb.Role_ROLE_OPERATOR), 0)
+	class := &pb.ConfigObject{Spec: &pb.ConfigObject_Class{Class: &pb.Class{
+		Name: "search", Service: "desk", Kind: pb.RequestKind_REQUEST_KIND_IDEMPOTENT, Worth: 1,
+		Lateness: durationpb.New(time.Second), CoverageExponent: 1, CoverageFloor: 0.5,
+	}}}
+	for _, o := range []*pb.ConfigObject{
+		zone("zone-a"), director("dora"), director("eve"), desk("dora"), class,
+	} {
+		is.New(t).Equal(f.apply(t, "op", keyer.Of(o), o, 0).GetCode(), ok)
+	}
+	return f
+}
+
+func (f *fixture) agree(t *testing.T, token, id string, share float64, lifetime time.Duration) *pb.ChangeOutcome {
+	t.Helper()
+	r, err := f.client.AgreeToRefusal(context.Background(), call(token, &pb.AgreeToRefusalRequest{
+		PageId: "page-1", Service: "desk", Class: "search", Share: share, Lifetime: durationpb.New(lifetime),
+		ChangeId: id, Reason: "overload",
+	}))
+	is.New(t).NoErr(err)
+	return r.Msg.GetOutcome()
+}
+
+func TestWhoMayAgree(t *testing.T) {
+	f := newDesk(t)
+	cases := map[string]pb.ResultCode{
+		"op":              roleMissing,
+		"bootstrap-token": roleMissing,
+		"eve":             pb.ResultCode_RESULT_CODE_NOT_NAMED_DIRECTOR,
+		"nobody":          pb.ResultCode_RESULT_CODE_UNAUTHENTICATED,
+		"dora":            ok,
+	}
+	for token, want := range cases {
+		t.Run(token, func(t *testing.T) {
+			is.New(t).Equal(f.agree(t, token, "a-"+token, 0.5, time.Minute).GetCode(), want)
+		})
+	}
+}
+
+func TestAgreementIsBounded(t *testing.T) {
+	is := is.New(t)
+	f := newDesk(t)
+	is.Equal(f.agree(t, "dora", "a1", 1.1, time.Minute).GetCode(), invalid)
+	is.Equal(f.agree(t, "dora", "a2", math.NaN(), time.Minute).GetCode(), invalid)
+	is.Equal(f.agree(t, "dora", "a3", 0.5, 0).GetCode(), invalid)
+	is.Equal(f.agree(t, "dora", "a4", 0.5, 5*time.Hour).GetCode(), invalid)
+	is.Equal(len(f.keeper.Index().Grants("desk", "search")), 0)
+}
+
+func TestAgreeAnswersThePageAndRevokeEndsTheGrant(t *testing.T) {
+	is := is.New(t)
+	f := newDesk(t)
+	is.Equal(f.agree(t, "dora", "a1", 0.5, time.Minute).GetCode(), ok)
+	grants := f.keeper.Index().Grants("desk", "search")
+	is.Equal(len(grants), 1)
+	is.Equal(grants[0].GetDirector(), "dora")
+	is.True(f.keeper.Index().Page("desk", "search").GetAgreed())
+	r, err := f.client.RevokeGrant(context.Background(), call("dora", &pb.RevokeGrantRequest{
+		Grant: grants[0].GetName(), ChangeId: "r1", Reason: "over",
+	}))
+	is.NoErr(err)
+	is.Equal(r.Msg.GetOutcome().GetCode(), ok)
+	is.Equal(len(f.keeper.Index().Grants("desk", "search")), 0)
+}
+
+func TestANoIsRecordedWithoutAGrant(t *testing.T) {
+	is := is.New(t)
+	f := newDesk(t)
+	is.Equal(f.agree(t, "dora", "a1", 0, time.Hour).GetCode(), ok)
+	is.Equal(len(f.keeper.Index().Grants("desk", "search")), 0)
+	page := f.keeper.Index().Page("desk", "search")
+	is.True(page.GetAnswered() && !page.GetAgreed())
+	is.Equal(page.GetQuietFor().AsDuration(), time.Hour)
 }
--- a/internal/settings/decoder/decoder.go
+++ b/internal/settings/decoder/decoder.go
@@ -41,7 +41,7 @@
 		return w.wrong
 	}
 	if err := protojson.Unmarshal(text, m); err != nil {
-		return FieldErrors{plain(err)}
+		return FieldErrors{strings.ToValidUTF8(plain(err), "\uFFFD")}
 	}
 	return nil
 }
--- a/internal/settings/decoder/decoder_test.go
+++ b/internal/settings/decoder/decoder_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -49,6 +51,10 @@
 			"{\n \"services\": [}", []string{`line 2, column 15: invalid character '}' looking for beginning of value`},
 		},
 		"truncated": {`{"services":`, []string{`line 1, column 12: unexpected end of JSON input`}},
+		"a value cut within a letter": {
+			`{"services":"` + strings.Repeat("é", 30) + `"}`,
+			[]string{`services: must be a list, not "` + strings.Repeat("é", 19) + "\uFFFD…"},
+		},
 		"no object": {`[]`, []string{`the text: must be an object, not []`}},
 	}
 	for name, c := range cases {
@@ -92,7 +98,8 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		m := empty()
-		if decoder.Decode(text, m) != nil {
+		if err := decoder.Decode(text, m); err != nil {
+			is.New(t).True(utf8.ValidString(err.Error())) // the error can be sent on
 			return
 		}
 		expected := empty()
--- a/internal/settings/decoder/walker.go
+++ b/internal/settings/decoder/walker.go
@@ -182,9 +182,9 @@
 func shown(raw json.RawMessage) string {
 	text := string(bytes.TrimSpace(raw))
 	if len(text) > maxShownBytes {
-		return text[:maxShownBytes] + "…"
+		text = text[:maxShownBytes] + "…"
 	}
-	return text
+	return strings.ToValidUTF8(text, "\uFFFD")
 }
 
 func join(path, name string) string {
