--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -21,12 +21,15 @@
 	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
 	"github.com/magnoliastep/magnoliastep/internal/config/relayer"
 	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
+	"github.com/magnoliastep/magnoliastep/internal/entry/admitter"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
+	"github.com/magnoliastep/magnoliastep/internal/entry/tallier"
 	"github.com/magnoliastep/magnoliastep/internal/entry/tracker"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/dispatcher"
+	"github.com/magnoliastep/magnoliastep/internal/operator/pager"
 	operatorserver "github.com/magnoliastep/magnoliastep/internal/operator/server"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/peer/router"
@@ -86,6 +89,9 @@
 		registrar  *registrar.Registrar
 		entry      *entryserver.Server
 		operator   *operatorserver.Server
+		tallier    *tallier.Tallier
+		admitter   *admitter.Admitter
+		pager      *pager.Pager
 	}
 )
 
@@ -118,6 +124,7 @@
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
 		n.watcher.Run, n.relayer.Run, n.healer.Run, n.prober.Run, n.lister.Run, n.dispatcher.Run, n.tracker.Run,
+		n.pager.Run,
 	} {
 		loops.Go(func() { run(loopContext) })
 	}
@@ -163,8 +170,8 @@
 	if err != nil {
 		return err
 	}
-	callers := n.httpServer(n.config.Settings.GetCallerAddress(), callerHandler)
-	operators := n.httpServer(n.config.Settings.GetOperatorAddress(), n.operator.Handler())
+	callers := n.callerServer(callerHandler)
+	operators := n.operatorServer(n.operator.Handler())
 	failures := make(chan error, 3)
 	go func() { failures <- n.messenger.Serve(peers) }()
 	go func() { failures <- errors.Wrap(n.listenAndServe(callers), "serve callers") }()
@@ -196,5 +203,8 @@
 }
 
 func (n *Node) httpServer(address string, h http.Handler) *http.Server {
-	return &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{
+		Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
 }
