Add stepload: single calls, control ports and open-loop load

Cause: the demo needed curl and python; there was no way to load the entries and judge what came back. Change: stepload search, submit, entries and control serve the demo; run and direct send open-loop load whose latency counts from the scheduled time; plot draws a report. The demo ends its processes quietly. Ruled out: a closed loop with workers, which hides stalls (TestStallIsSeenByEveryRequest).

--- /dev/null
+++ b/cmd/stepload/main.go
@@ -0,0 +1,12 @@
+// Command stepload hands its arguments to package loader.
+package main
+
+import (
+	"os"
+
+	"github.com/magnoliastep/magnoliastep/internal/command/loader"
+)
+
+func main() {
+	os.Exit(loader.New(loader.Config{Arguments: os.Args[1:], Output: os.Stdout, Errors: os.Stderr}).Run())
+}
--- /dev/null
+++ b/internal/command/loader/plot.go
@@ -0,0 +1,38 @@
+package loader
+
+import (
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/load/plotter"
+	"github.com/magnoliastep/magnoliastep/internal/settings/decoder"
+)
+
+type (
+	plotVerb struct {
+		Report   string `required:"" type:"existingfile" help:"Report in JSON, as run prints it."`
+		Latency  string `help:"File for the latency over time (.svg or .png)."`
+		Coverage string `help:"File for the coverage over time (.svg or .png)."`
+	}
+)
+
+// Help shows an example.
+func (v *plotVerb) Help() string {
+	return "Example:\n  stepload plot --report report.json --latency latency.svg --coverage coverage.svg"
+}
+
+// Run implements the verb.
+func (v *plotVerb) Run() error {
+	report := &pb.LoadReport{}
+	if err := decoder.DecodeFile(v.Report, report); err != nil {
+		return err
+	}
+	p := plotter.New(plotter.Config{Report: report})
+	if v.Latency != "" {
+		if err := p.DrawLatency(v.Latency); err != nil {
+			return err
+		}
+	}
+	if v.Coverage == "" {
+		return nil
+	}
+	return p.DrawCoverage(v.Coverage)
+}
--- /dev/null
+++ b/internal/load/fanner/fanner.go
@@ -0,0 +1,94 @@
+// Package fanner makes the fan-out of a search directly at the leaves, without the tier in between. It
+// is the baseline for the latency that the tier adds: one call to one replica of each partition, drawn
+// at random, all at once, no hedge, no retry, no limit but the connections of the leaf.
+package fanner
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/google/uuid"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/leaf/sender"
+)
+
+const (
+	baseSnapshot = 1
+)
+
+type (
+	// Config holds what a Fanner needs.
+	Config struct {
+		Services []*pb.Service
+	}
+
+	// Fanner calls leaves directly. It is safe for concurrent use.
+	Fanner struct {
+		services map[string]*pb.Service
+		senders  map[string]*sender.Sender
+	}
+)
+
+// New returns a Fanner.
+func New(c Config) *Fanner {
+	f := &Fanner{services: map[string]*pb.Service{}, senders: map[string]*sender.Sender{}}
+	for _, s := range c.Services {
+		f.services[s.GetName()] = s
+		for _, l := range s.GetLeaves() {
+			f.senders[l.GetName()] = sender.New(sender.Config{
+				Address: l.GetAddress(), Connections: int(l.GetConnections()),
+			})
+		}
+	}
+	return f
+}
+
+// Answer makes one fan-out and tells how many of the partitions answered.
+func (f *Fanner) Answer(ctx context.Context, load *pb.ClassLoad, class *pb.Class) (string, int, int) {
+	ctx, cancel := context.WithTimeout(ctx, class.GetLateness().AsDuration())
+	defer cancel()
+	service := f.services[load.GetService()]
+	id := uuid.Must(uuid.NewV7()).String()
+	var included atomic.Int32
+	var calls sync.WaitGroup
+	for q := range service.GetPartitionCount() {
+		l := replica(service, q)
+		calls.Go(func() {
+			_, err := f.senders[l.GetName()].Send(ctx, sender.Call{
+				Path: sender.PathSearch, RequestID: id, Snapshot: baseSnapshot, Partition: q, Attempt: 1,
+				TimeLeft: class.GetLateness().AsDuration(), Body: load.GetQuery(),
+			})
+			if err == nil {
+				included.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	asked := int(service.GetPartitionCount())
+	code := pb.ResultCode_RESULT_CODE_OK
+	if int(included.Load()) < asked {
+		code = pb.ResultCode_RESULT_CODE_PARTIAL
+	}
+	return code.String(), int(included.Load()), asked
+}
+
+// replica draws one of the leaves that hold the partition.
+func replica(s *pb.Service, partition uint32) *pb.Leaf {
+	var chosen *pb.Leaf
+	seen := 0
+	for _, l := range s.GetLeaves() {
+		for _, q := range l.GetPartitions() {
+			if q != partition {
+				continue
+			}
+			seen++
+			if rand.IntN(seen) == 0 { //nolint:gosec // spread of load
+				chosen = l
+			}
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/load/runner/runner_test.go
@@ -0,0 +1,60 @@
+package runner_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/load/runner"
+)
+
+// serialAnswerer answers one request at a time; its first answer takes a second.
+type serialAnswerer struct {
+	// turn has one token; unlike a mutex it lets virtual time advance.
+	turn  chan struct{}
+	calls int
+}
+
+func (s *serialAnswerer) Answer(context.Context, *pb.ClassLoad, *pb.Class) (string, int, int) {
+	s.turn <- struct{}{}
+	defer func() { <-s.turn }()
+	s.calls++
+	if s.calls == 1 {
+		time.Sleep(time.Second)
+	}
+	return pb.ResultCode_RESULT_CODE_OK.String(), 1, 1
+}
+
+// TestStallIsSeenByEveryRequest fails when latency is counted from the actual send time of a closed
+// loop: then only one of the requests that were due during the stall would be slow.
+func TestStallIsSeenByEveryRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		plan := &pb.LoadPlan{
+			Duration: durationpb.New(2 * time.Second), Seed: 1, Classes: []*pb.ClassLoad{{
+				Service: "s", Class: "c", Steps: []*pb.RateStep{{RequestsPerSecond: 100}},
+			}},
+		}
+		class := &pb.Class{
+			Name: "c", Service: "s", Worth: 1, CoverageExponent: 1,
+			FullWorthUntil: durationpb.New(time.Second / 2), Lateness: durationpb.New(time.Second),
+		}
+		report, err := runner.New(runner.Config{
+			Plan: plan, Classes: []*pb.Class{class}, Clock: quartz.NewReal(),
+			Answerer: &serialAnswerer{turn: make(chan struct{}, 1)},
+		}).Run(t.Context())
+		i.NoErr(err)
+		c := report.GetClasses()[0]
+		slow := 0.5 * float64(c.GetSent()) // the stall covers half of the run
+		i.True(c.GetLatency().GetP90Ms() > 700)
+		i.True(c.GetWorthShare() < 1-0.25*slow/float64(c.GetSent()))
+		i.True(c.GetWindows()[0].GetP50Ms() > 300)
+		i.True(c.GetWindows()[1].GetP50Ms() < 300)
+	})
+}
--- a/test/demo.sh
+++ b/test/demo.sh
@@ -13,8 +13,10 @@
   exit 1
 }
 
+# stop_all ends what still runs; the shell is not to report the processes that it ends.
 stop_all() {
-  for p in "${processes[@]}"; do kill -KILL "$p" 2>/dev/null || true; done
+  for p in "${processes[@]}"; do kill -TERM "$p" 2>/dev/null || true; done
+  wait 2>/dev/null
   rm -rf "$logs"
 }
 trap stop_all EXIT
@@ -48,8 +50,7 @@
   start "leaves-$zone" "$binaries/stepfake" upstream --config examples/demo/config.json --zone "zone-$zone" \
     --control-address "127.30.0.1:701$(printf '%d' "'$zone" | tail -c 1)"
 done
-wait_for "platform start" curl -sf "http://$platform/v1/vms"
-curl -sf -X POST --data-binary @examples/demo/vms.json "http://$platform_control/vms"
+wait_for "platform start" "$binaries/stepload" control "$platform_control" /vms @examples/demo/vms.json
 
 nodes=()
 for node in a1 b1 c1; do
@@ -64,27 +65,23 @@
 all_members() { [ "$("$binaries/stepctl" status | grep -c MEMBER_STATE_ALIVE)" = 3 ]; }
 wait_for "view of three members" all_members
 
-ask() { # path, credential, body
-  curl -sf -H "Authorization: Bearer $2" -d "$3" "http://$entry$1"
+search() { # credential, service, class, query, options
+  "$binaries/stepload" search --entry "$entry" --credential "$1" --service "$2" --class "$3" "${@:4}"
 }
-whole() { ask "$@" | grep -Eq '"code": *"RESULT_CODE_OK"'; }
+towpath=(skippers-token towpath-desk stalls "free stalls at Olten")
+catalogue=(buyers-token quote-desk catalogue "goal net 7.5 m")
+wait_for "whole answer of towpath-desk" search "${towpath[@]}" --whole
+wait_for "whole answer of quote-desk" search "${catalogue[@]}" --whole
 
-towpath='{"service":"towpath-desk","class":"stalls","query":"free stalls at Olten"}'
-catalogue='{"service":"quote-desk","class":"catalogue","query":"goal net 7.5 m"}'
-wait_for "whole answer of towpath-desk" whole /v1/search skippers-token "$towpath"
-wait_for "whole answer of quote-desk" whole /v1/search buyers-token "$catalogue"
-
-show() { python3 -m json.tool 2>/dev/null || cat; }
-echo "# GET /v1/entries"
-curl -sf "http://$entry/v1/entries" | show
-echo "# POST /v1/search (towpath-desk)"
-ask /v1/search skippers-token "$towpath" | show || fail "search of towpath-desk"
-echo "# POST /v1/search (quote-desk)"
-ask /v1/search buyers-token "$catalogue" | show || fail "search of quote-desk"
-echo "# POST /v1/submit (towpath-desk)"
-id=$("$binaries/stepctl" request-id)
-booking="{\"service\":\"towpath-desk\",\"class\":\"book-stall\",\"request_id\":\"$id\",\"partition\":1,\"payload\":\"stall 7\"}"
-ask /v1/submit skippers-token "$booking" | show || fail "booking"
+echo "# stepload entries"
+"$binaries/stepload" entries --entry "$entry"
+echo "# stepload search (towpath-desk)"
+search "${towpath[@]}" || fail "search of towpath-desk"
+echo "# stepload search (quote-desk)"
+search "${catalogue[@]}" || fail "search of quote-desk"
+echo "# stepload submit (towpath-desk)"
+"$binaries/stepload" submit --entry "$entry" --credential skippers-token --service towpath-desk \
+  --class book-stall --partition 1 "stall 7" || fail "booking"
 
 echo "# stop"
 for p in "${nodes[@]}"; do kill -TERM "$p"; done
