--- a/internal/leaf/dispatcher/dispatcher.go
+++ b/internal/leaf/dispatcher/dispatcher.go
@@ -181,6 +181,12 @@
 	j.enqueuedAt = d.config.Clock.Now()
 	j.deadline = j.enqueuedAt.Add(c.GetTimeLeft().AsDuration())
 	j.fullWorthUntil = j.deadline
+	if c.GetNotAfter() != nil {
+		j.notAfter = c.GetNotAfter().AsTime()
+	}
+	if j.heldUp(j.enqueuedAt) {
+		return submitReply(c, heldUpOutcome())
+	}
 	d.start(j)
 	return <-replies
 }
--- a/internal/leaf/dispatcher/job.go
+++ b/internal/leaf/dispatcher/job.go
@@ -25,6 +25,9 @@
 		deadline       time.Time
 		fullWorthUntil time.Time
 		enqueuedAt     time.Time
+		// notAfter is the wall time after which the job must not be sent; zero means none. It holds also
+		// for a process that was paused, whose own deadlines may have stood still.
+		notAfter time.Time
 		// handle is set while the job waits.
 		handle *queuer.Handle[*job]
 		// unwatch stops the watch on the context while the job waits.
@@ -143,6 +146,7 @@
 	passed := &pb.SubmitCall{
 		Service: c.GetService(), Class: c.GetClass(), RequestId: c.GetRequestId(), Partition: c.GetPartition(),
 		Payload: c.GetPayload(), Leaf: c.GetLeaf(), Worth: c.GetWorth(), Forwarded: true,
+		NotAfter: c.GetNotAfter(),
 		TimeLeft: router.TimeLeft(d.config.Clock.Until(j.deadline)),
 	}
 	ctx, cancel := context.WithDeadline(j.context, j.deadline)
@@ -151,6 +155,15 @@
 	done(passedReply(c, reply, err))
 }
 
+// heldUp tells whether the job must not be sent any more, by the wall clock.
+func (j *job) heldUp(now time.Time) bool {
+	return !j.notAfter.IsZero() && now.Round(0).After(j.notAfter)
+}
+
+func heldUpOutcome() outcome {
+	return outcome{code: pb.ResultCode_RESULT_CODE_CANCELLED, message: "held up until its time was over"}
+}
+
 func submitReply(c *pb.SubmitCall, o outcome) *pb.SubmitReply {
 	r := &pb.SubmitReply{RequestId: c.GetRequestId(), Message: o.message}
 	switch {
--- a/internal/leaf/dispatcher/lane.go
+++ b/internal/leaf/dispatcher/lane.go
@@ -192,6 +192,13 @@
 func (l *lane) run(j *job, until time.Time) {
 	clock := l.dispatcher.config.Clock
 	startedAt := clock.Now()
+	if j.heldUp(startedAt) {
+		o := heldUpOutcome()
+		l.learn(j, o, 0)
+		j.finish(o)
+		l.dispatch()
+		return
+	}
 	l.assertUnblocked(startedAt)
 	l.meters.calls.Inc()
 	if j.call.Attempt > 1 {
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -14,26 +14,32 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/quartz"
 
+	"github.com/magnoliastep/magnoliastep/internal/booking/grouper"
+	"github.com/magnoliastep/magnoliastep/internal/booking/registrar"
 	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
 	"github.com/magnoliastep/magnoliastep/internal/config/healer"
 	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
+	"github.com/magnoliastep/magnoliastep/internal/config/relayer"
 	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
+	"github.com/magnoliastep/magnoliastep/internal/entry/admitter"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
+	"github.com/magnoliastep/magnoliastep/internal/entry/tallier"
 	"github.com/magnoliastep/magnoliastep/internal/entry/tracker"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/dispatcher"
+	"github.com/magnoliastep/magnoliastep/internal/operator/pager"
 	operatorserver "github.com/magnoliastep/magnoliastep/internal/operator/server"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/peer/router"
 	"github.com/magnoliastep/magnoliastep/internal/platform/client"
+	"github.com/magnoliastep/magnoliastep/internal/view/lister"
 	"github.com/magnoliastep/magnoliastep/internal/view/placer"
 	"github.com/magnoliastep/magnoliastep/internal/view/prober"
 )
 
 const (
-	outcomeKeepFor    = 10 * time.Minute
 	readHeaderTimeout = 5 * time.Second
 )
 
@@ -69,16 +75,23 @@
 		keeper     *keeper.Keeper
 		watcher    *watcher.Watcher
 		healer     *healer.Healer
+		relayer    *relayer.Relayer
 		messenger  *messenger.Messenger
 		prober     *prober.Prober
+		lister     *lister.Lister
 		placer     *placer.Placer
 		dispatcher *dispatcher.Dispatcher
 		tracker    *tracker.Tracker
 		router     *router.Router
 		searcher   *searcher.Searcher
 		submitter  *submitter.Submitter
+		grouper    *grouper.Grouper
+		registrar  *registrar.Registrar
 		entry      *entryserver.Server
 		operator   *operatorserver.Server
+		tallier    *tallier.Tallier
+		admitter   *admitter.Admitter
+		pager      *pager.Pager
 	}
 )
 
@@ -87,7 +100,6 @@
 	n := &Node{config: c, metrics: metrics.NewSet()}
 	n.asserter = asserter.New(asserter.Config{Logger: c.Logger, Fatal: c.Settings.GetFatalInvariants()})
 	n.keeper = keeper.New(keeper.Config{Asserter: n.asserter})
-	n.watcher = watcher.New(watcher.Config{Store: c.Store, Keeper: n.keeper, Clock: c.Clock, Logger: c.Logger})
 	n.messenger = messenger.New(messenger.Config{
 		NodeName:      c.Settings.GetNodeName(),
 		Handler:       n,
@@ -111,7 +123,8 @@
 	defer stopLoops()
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
-		n.watcher.Run, n.healer.Run, n.prober.Run, n.dispatcher.Run, n.tracker.Run,
+		n.watcher.Run, n.relayer.Run, n.healer.Run, n.prober.Run, n.lister.Run, n.dispatcher.Run, n.tracker.Run,
+		n.pager.Run,
 	} {
 		loops.Go(func() { run(loopContext) })
 	}
@@ -157,8 +170,8 @@
 	if err != nil {
 		return err
 	}
-	callers := n.httpServer(n.config.Settings.GetCallerAddress(), callerHandler)
-	operators := n.httpServer(n.config.Settings.GetOperatorAddress(), n.operator.Handler())
+	callers := n.callerServer(callerHandler)
+	operators := n.operatorServer(n.operator.Handler())
 	failures := make(chan error, 3)
 	go func() { failures <- n.messenger.Serve(peers) }()
 	go func() { failures <- errors.Wrap(n.listenAndServe(callers), "serve callers") }()
@@ -190,5 +203,8 @@
 }
 
 func (n *Node) httpServer(address string, h http.Handler) *http.Server {
-	return &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{
+		Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
 }
