--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -199,6 +199,9 @@
 			n.config.Logger.Error("stop cut requests", "error", err.Error())
 		}
 	}
+	if err := n.dispatcher.HandOver(ctx); err != nil {
+		n.config.Logger.Error("stop cut calls to leaves", "error", err.Error())
+	}
 	n.config.Logger.Info("stop complete", "in_progress", n.entry.InProgress())
 }
 
--- a/internal/node/assembler/leafside.go
+++ b/internal/node/assembler/leafside.go
@@ -31,8 +31,8 @@
 			NodeName: name, Ranks: n.placer, Clock: n.config.Clock, Tenure: t.GetTenure().AsDuration(),
 			Asserter: n.asserter,
 		}),
-		Forwarder: router.New(router.Config{NodeName: name, Messenger: n.messenger}),
-		Clock:     n.config.Clock, Asserter: n.asserter, Logger: n.config.Logger, Metrics: n.metrics,
+		Forwarder: router.New(router.Config{NodeName: name, Messenger: n.messenger}), VMs: n.lister,
+		Clock: n.config.Clock, Asserter: n.asserter, Logger: n.config.Logger, Metrics: n.metrics,
 		NewSender: newSender, StatusPeriod: t.GetLeafStatusPeriod().AsDuration(),
 		TenurePeriod: t.GetTenure().AsDuration() / tenurePeriods,
 	})
