--- a/internal/entry/answerer/answerer.go
+++ b/internal/entry/answerer/answerer.go
@@ -22,6 +22,8 @@
 	// Arrivals tells how likely open calls are to stay open.
 	Arrivals interface {
 		Remaining(age, further time.Duration) float64
+		// Beyond tells whether the age is more than any measured time.
+		Beyond(age time.Duration) bool
 	}
 
 	// Config holds what an Answerer needs.
@@ -117,10 +119,11 @@
 	return counts
 }
 
-// arrival returns the probability that the partition arrives within the further time.
+// arrival returns the probability that the partition arrives within the further time. A second call
+// counts only while the first may be late by chance: later, its partition is in trouble as a whole.
 func (a *Answerer) arrival(p Pending, further time.Duration) float64 {
 	remaining := a.config.Arrivals.Remaining(p.Oldest, further)
-	if p.Calls > 1 {
+	if p.Calls > 1 && !a.config.Arrivals.Beyond(p.Oldest) {
 		remaining *= a.config.Arrivals.Remaining(p.Newest, further)
 	}
 	return 1 - remaining
--- a/internal/entry/answerer/answerer_test.go
+++ b/internal/entry/answerer/answerer_test.go
@@ -23,6 +23,10 @@
 	return 1 / (1 + float64(further)/float64(c.mean))
 }
 
+func (constantRate) Beyond(time.Duration) bool { return false }
+
+func (never) Beyond(time.Duration) bool { return true }
+
 func (never) Remaining(_, _ time.Duration) float64 { return 1 }
 
 // The two classes are those of examples/treidelstall and examples/dikranos.
--- a/internal/entry/estimator/estimator.go
+++ b/internal/entry/estimator/estimator.go
@@ -36,10 +36,15 @@
 		// current receives the samples; previous is the window before and is not changed.
 		current  *hdrhistogram.Histogram
 		previous *hdrhistogram.Histogram
-		rotateAt time.Time
-		tableAt  time.Time
+		// lost and lostBefore count the calls of the two windows that did not end while they were wanted.
+		lost       int64
+		lostBefore int64
+		rotateAt   time.Time
+		tableAt    time.Time
 		// table has the quantiles i/tableSize in ascending order; it is empty without enough samples.
 		table []time.Duration
+		// lostShare of all calls, 0 to 1, at the time of the table.
+		lostShare float64
 	}
 )
 
@@ -51,17 +56,25 @@
 	}
 }
 
-// Record takes the time of a call: to its reply, or to its cancellation as a lower bound.
+// Record takes the time of a call: to its reply, or to its cancellation when another call for the same
+// partition was faster.
 func (e *Estimator) Record(d time.Duration) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	_ = e.current.RecordValue(int64(min(max(d, shortestTime), longestTime)))
 }
 
-// Quantile returns the time within which the share q of calls finishes, and false without enough
+// RecordLost takes note of a call that had not ended when the answer was given.
+func (e *Estimator) RecordLost() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.lost++
+}
+
+// Quantile returns the time within which the share q of the calls that end finishes, and false without enough
 // samples.
 func (e *Estimator) Quantile(q float64) (time.Duration, bool) {
-	table := e.quantiles()
+	table, _ := e.quantiles()
 	if len(table) == 0 {
 		return 0, false
 	}
@@ -72,27 +85,34 @@
 // Remaining returns the probability that a call which is open for age stays open for the further time.
 // Beyond everything measured, the chance to end is taken to shrink with age.
 func (e *Estimator) Remaining(age, further time.Duration) float64 {
-	table := e.quantiles()
-	if len(table) == 0 || age >= table[len(table)-1] {
+	table, lost := e.quantiles()
+	if len(table) == 0 || (lost == 0 && age >= table[len(table)-1]) {
 		return float64(age+1) / float64(age+further+1)
 	}
-	return survival(table, age+further) / survival(table, age)
+	return (lost + (1-lost)*survival(table, age+further)) / (lost + (1-lost)*survival(table, age))
+}
+
+// Beyond tells whether the age is more than any measured time.
+func (e *Estimator) Beyond(age time.Duration) bool {
+	table, _ := e.quantiles()
+	return len(table) == 0 || age >= table[len(table)-1]
 }
 
-func (e *Estimator) quantiles() []time.Duration {
+func (e *Estimator) quantiles() ([]time.Duration, float64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	now := e.clock.Now()
 	if !now.Before(e.rotateAt) {
 		e.current, e.previous = e.previous, e.current
 		e.current.Reset()
+		e.lost, e.lostBefore = 0, e.lost
 		e.rotateAt = now.Add(windowLength)
 	}
 	if now.Sub(e.tableAt) >= refreshPeriod {
 		e.tableAt = now
 		e.table = e.rebuild()
 	}
-	return e.table
+	return e.table, e.lostShare
 }
 
 func (e *Estimator) rebuild() []time.Duration {
@@ -102,6 +122,8 @@
 	merged := newHistogram()
 	merged.Merge(e.current)
 	merged.Merge(e.previous)
+	lost := float64(e.lost + e.lostBefore)
+	e.lostShare = lost / (lost + float64(merged.TotalCount()))
 	wanted := make([]float64, 0, tableSize+1)
 	for i := range tableSize + 1 {
 		wanted = append(wanted, float64(i)*percentPerStep)
--- a/internal/entry/searcher/bed_test.go
+++ b/internal/entry/searcher/bed_test.go
@@ -54,7 +54,9 @@
 		cancelled int
 		// refused counts calls that never reached the leaf.
 		refused int
-		latency time.Duration
+		// shedAbove is the length of the queue from which calls are shed; zero for never.
+		shedAbove int
+		latency   time.Duration
 	}
 
 	fakeCall struct {
@@ -185,8 +187,18 @@
 	if f.ended {
 		return
 	}
-	f.leaf.queue = append(f.leaf.queue, f)
 	f.leaf.started++
+	if f.leaf.shedAbove > 0 && len(f.leaf.queue) >= f.leaf.shedAbove {
+		b.end(f)
+		time.AfterFunc(networkDelay, func() {
+			f.deliver(&pb.LeafReply{
+				CallId: f.id, Code: pb.ResultCode_RESULT_CODE_LEAF_SHED, Partition: f.call.GetPartition(),
+				RequestId: f.batch.GetRequestId(),
+			})
+		})
+		return
+	}
+	f.leaf.queue = append(f.leaf.queue, f)
 	b.dispatch(f.leaf)
 }
 
@@ -263,6 +275,11 @@
 	}
 }
 
+// extra returns the hedges, retries and calls of restarted queries.
+func (b *bed) extra() uint64 {
+	return b.series.Hedges.Get() + b.series.Retries.Get() + b.series.RestartSent.Get()
+}
+
 func (b *bed) totals() (started, cancelled int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/entry/searcher/query.go
+++ b/internal/entry/searcher/query.go
@@ -195,6 +195,7 @@
 		q.series.HedgesWon.Inc()
 	}
 	q.merger.Close(c.Position, func(o merger.Call) {
+		q.line.estimator.Record(now.Sub(o.SentAt))
 		q.cancelled(o, now)
 		q.searcher.config.Router.Cancel(ctx, o.Owner, []uint64{o.ID})
 	})
@@ -204,7 +205,6 @@
 func (q *query) cancelled(c merger.Call, now time.Time) {
 	c.Replica.End()
 	c.Replica.ObserveAtLeast(now.Sub(c.SentAt), now)
-	q.line.estimator.Record(now.Sub(c.SentAt))
 	q.series.Cancelled.Inc()
 }
 
--- a/internal/entry/searcher/sending.go
+++ b/internal/entry/searcher/sending.go
@@ -312,6 +312,7 @@
 	owners := map[string]*pb.Member{}
 	for i := range q.progress {
 		q.merger.Close(i, func(c merger.Call) {
+			q.line.estimator.RecordLost()
 			q.cancelled(c, now)
 			name := c.Owner.GetName()
 			byOwner[name] = append(byOwner[name], c.ID)
--- a/internal/entry/searcher/tail_test.go
+++ b/internal/entry/searcher/tail_test.go
@@ -95,7 +95,7 @@
 		}
 		running.Wait()
 		result.first = b.series.FirstCalls.Get()
-		result.extra = b.series.Hedges.Get() + b.series.Retries.Get() + b.series.RestartSent.Get()
+		result.extra = b.extra()
 		for _, l := range b.leaves {
 			result.unsent += uint64(l.refused)
 		}
@@ -108,10 +108,12 @@
 			t.Errorf("leaves saw %d calls, the metrics say %d", started, result.first+result.extra)
 		}
 	})
-	slices.Sort(result.complete)
+	result.sort()
 	return result
 }
 
+func (r *tailResult) sort() { slices.Sort(r.complete) }
+
 func (r tailResult) quantile(q float64) time.Duration {
 	if len(r.complete) == 0 {
 		return 0
