--- a/internal/entry/searcher/snapshot_test.go
+++ b/internal/entry/searcher/snapshot_test.go
@@ -134,13 +134,18 @@
 				held.Partitions = append(held.Partitions, uint32(p))
 			}
 			at := r.spread * time.Duration(i%3*10+i/3) / 30
-			time.AfterFunc(at, func() { b.hold(l, append(l.last(), held)) })
+			time.AfterFunc(at, func() { b.add(l, held) })
 			time.AfterFunc(at+r.overlap, func() { b.hold(l, []*pb.SnapshotHeld{held}) })
 		}
 	}
 }
 
-func (l *fakeLeaf) last() []*pb.SnapshotHeld { return slices.Clone(l.holds[len(l.holds)-1:]) }
+// add makes the leaf hold the snapshot besides its newest one.
+func (b *bed) add(l *fakeLeaf, held *pb.SnapshotHeld) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	l.holds = append(slices.Clone(l.holds[len(l.holds)-1:]), held)
+}
 
 func (b *bed) hold(l *fakeLeaf, held []*pb.SnapshotHeld) {
 	b.mutex.Lock()
