--- a/internal/node/assembler/frames.go
+++ b/internal/node/assembler/frames.go
@@ -24,11 +24,17 @@
 		r := n.dispatcher.Submit(ctx, body.SubmitCall)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_SubmitReply{SubmitReply: r}})
 	case *pb.Frame_Probe:
-		r := n.prober.HandleProbe(body.Probe.GetRumours())
+		r := n.prober.HandleProbe(body.Probe)
+		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ProbeReply{ProbeReply: r}})
+	case *pb.Frame_IndirectProbe:
+		r := n.prober.HandleIndirect(ctx, body.IndirectProbe)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ProbeReply{ProbeReply: r}})
 	case *pb.Frame_ConfigPull:
-		delta := &pb.ConfigDelta{Objects: n.keeper.NewerThan(body.ConfigPull.GetVersions())}
+		delta := n.relayer.HandlePull(ctx, body.ConfigPull, f.GetConfigDigest())
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ConfigDelta{ConfigDelta: delta}})
+	case *pb.Frame_DemandReport:
+		r := n.pager.HandleReport(f.GetFrom(), body.DemandReport)
+		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_DemandReply{DemandReply: r}})
 	case *pb.Frame_LeafStatusPull:
 		statuses := &pb.LeafStatuses{Statuses: n.dispatcher.Statuses()}
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_LeafStatuses{LeafStatuses: statuses}})
