--- a/internal/node/assembler/entryside.go
+++ b/internal/node/assembler/entryside.go
@@ -1,9 +1,9 @@
 package assembler
 
 import (
-	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
 	"github.com/magnoliastep/magnoliastep/internal/entry/admitter"
 	"github.com/magnoliastep/magnoliastep/internal/entry/directory"
+	"github.com/magnoliastep/magnoliastep/internal/entry/recorder"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
 	"github.com/magnoliastep/magnoliastep/internal/entry/tallier"
@@ -19,15 +19,15 @@
 		NodeName: name, Messenger: n.messenger, View: n.prober, Local: n.dispatcher, Clock: n.config.Clock,
 		Period: t.GetLeafStatusPeriod().AsDuration(),
 	})
-	n.router = router.New(router.Config{NodeName: name, Messenger: n.messenger, Dispatcher: n.dispatcher})
+	n.assembleWitness()
+	n.router = router.New(router.Config{
+		NodeName: name, Messenger: n.messenger, Dispatcher: n.dispatcher, Witness: n.registrar,
+	})
 	n.searcher = searcher.New(searcher.Config{
 		Source: n.keeper, Owners: n.placer, Statuses: n.tracker, Router: n.router, Clock: n.config.Clock,
-		Asserter: n.asserter,
-	})
-	n.submitter = submitter.New(submitter.Config{
-		NodeName: name, Source: n.keeper, View: n.prober, Owners: n.placer, Statuses: n.tracker,
-		Router: n.router, Clock: n.config.Clock, Asserter: n.asserter, KeepFor: outcomeKeepFor,
+		Asserter: n.asserter, Recorder: recorder.New(recorder.Config{Metrics: n.metrics}),
 	})
+	n.assembleSubmitter()
 	n.tallier = tallier.New(tallier.Config{Clock: n.config.Clock, Metrics: n.metrics})
 	n.admitter = admitter.New(admitter.Config{
 		Source: n.keeper, Demand: n.tallier, Clock: n.config.Clock, Asserter: n.asserter, Metrics: n.metrics,
