--- a/test/sessions/commands_test.go
+++ b/test/sessions/commands_test.go
@@ -27,17 +27,15 @@
 	quietPolls     = 20
 )
 
-var (
-	volatile = []struct {
-		pattern     *regexp.Regexp
-		replacement string
-	}{
-		{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[0-9a-f]{4}-[0-9a-f]{12}`), "UUID"},
-		{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
-		{regexp.MustCompile(`127\.45\.\d+\.`), "127.45.N."},
-		{regexp.MustCompile(`"weight": \d+`), `"weight": WEIGHT`},
-	}
-)
+var volatile = []struct {
+	pattern     *regexp.Regexp
+	replacement string
+}{
+	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[0-9a-f]{4}-[0-9a-f]{12}`), "UUID"},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
+	{regexp.MustCompile(`127\.45\.\d+\.`), "127.45.N."},
+	{regexp.MustCompile(`"weight": \d+`), `"weight": WEIGHT`},
+}
 
 type (
 	// submits is the background load of non-idempotent requests; each is repeated at a second entry.
--- a/test/sessions/sessions_test.go
+++ b/test/sessions/sessions_test.go
@@ -21,9 +21,7 @@
 	hostsPerZone = 60
 )
 
-var (
-	demoAddress = regexp.MustCompile(`127\.30\.(\d+)\.(\d+)`)
-)
+var demoAddress = regexp.MustCompile(`127\.30\.(\d+)\.(\d+)`)
 
 // buildPrograms builds the programs once and returns their folder.
 func buildPrograms(t *testing.T) string {
