Send leaf statuses only when they change

Cause: each entry pulled the statuses of all leaves from every member every 500 ms, and kept what a node that no longer owns a leaf, or no longer lives, had said of it. Ruled out: polling less often (a draining leaf would be seen late), gossip of statuses (every node would carry those of all regions). Change: entry/publisher numbers the changes that matter; entry/tracker keeps a waiting pull open at each owner of its region, and at owners elsewhere while their leaves are in use; reports are kept by owner, the present owner's counts, and they go with their owner. The member rumours of a fleet that starts at once are dropped after a full exchange, which repairs them.

--- a/internal/config/relayer/fleet_test.go
+++ b/internal/config/relayer/fleet_test.go
@@ -67,7 +67,7 @@
 		revision int64
 		changed  chan struct{}
 		outage   bool
-		calls    int
+		calls    atomic.Int64
 	}
 
 	nodeStore struct {
@@ -233,9 +233,7 @@
 }
 
 func (s *store) count() {
-	s.mutex.Lock()
-	s.calls++
-	s.mutex.Unlock()
+	s.calls.Add(1)
 	time.Sleep(3 * time.Millisecond)
 }
 
--- a/internal/config/relayer/relayer_test.go
+++ b/internal/config/relayer/relayer_test.go
@@ -151,9 +151,9 @@
 		version := f.store.put("first")
 		is.True(f.waitInForce(startLimit, "first", version, everyNode) < startLimit)
 		is.Equal(len(f.relays()), 2*zones)
-		before := f.store.calls
+		before := f.store.calls.Load()
 		time.Sleep(10 * time.Minute)
-		rate := float64(f.store.calls-before) / 600
+		rate := float64(f.store.calls.Load()-before) / 600
 		t.Logf("%.2f platform calls/s of 30 nodes, %d relays", rate, 2*zones)
 		is.True(rate < 2*zones*0.1) // a waiting watch lasts 20 s and a full list is made every 10 minutes
 	})
@@ -201,9 +201,9 @@
 		f := newFleet(t.Context(), size, uint64(seed))
 		f.waitInForce(startLimit, "first", f.store.put("first"), everyNode)
 		time.Sleep(time.Duration(3+seed) * time.Second)
-		callsBefore, bytesBefore := f.store.calls, f.bytes.Load()
+		callsBefore, bytesBefore := f.store.calls.Load(), f.bytes.Load()
 		time.Sleep(time.Minute)
-		calls += float64(f.store.calls-callsBefore) / 60 / runs
+		calls += float64(f.store.calls.Load()-callsBefore) / 60 / runs
 		bytes += float64(f.bytes.Load()-bytesBefore) / 60 / runs / float64(size)
 		c.before(f)
 		startedAt := time.Now()
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -19,6 +19,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
 	"github.com/magnoliastep/magnoliastep/internal/config/relayer"
 	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
+	"github.com/magnoliastep/magnoliastep/internal/entry/publisher"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
 	"github.com/magnoliastep/magnoliastep/internal/entry/tracker"
@@ -78,6 +79,7 @@
 		placer     *placer.Placer
 		dispatcher *dispatcher.Dispatcher
 		tracker    *tracker.Tracker
+		publisher  *publisher.Publisher
 		router     *router.Router
 		searcher   *searcher.Searcher
 		submitter  *submitter.Submitter
@@ -114,7 +116,8 @@
 	defer stopLoops()
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
-		n.watcher.Run, n.relayer.Run, n.healer.Run, n.prober.Run, n.lister.Run, n.dispatcher.Run, n.tracker.Run,
+		n.watcher.Run, n.relayer.Run, n.healer.Run, n.prober.Run, n.lister.Run,
+		n.dispatcher.Run, n.tracker.Run, n.publisher.Run,
 	} {
 		loops.Go(func() { run(loopContext) })
 	}
--- a/internal/node/assembler/entryside.go
+++ b/internal/node/assembler/entryside.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
 	"github.com/magnoliastep/magnoliastep/internal/entry/directory"
+	"github.com/magnoliastep/magnoliastep/internal/entry/publisher"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
 	"github.com/magnoliastep/magnoliastep/internal/entry/tracker"
@@ -14,8 +15,12 @@
 	name := n.config.Settings.GetNodeName()
 	t := n.config.Settings.GetTimings()
 	n.tracker = tracker.New(tracker.Config{
-		NodeName: name, Messenger: n.messenger, View: n.prober, Local: n.dispatcher, Clock: n.config.Clock,
-		Period: t.GetLeafStatusPeriod().AsDuration(),
+		NodeName: name, Region: n.config.Settings.GetRegion(), Messenger: n.messenger, View: n.prober,
+		Owners: n.placer, Local: n.dispatcher, Clock: n.config.Clock, Period: t.GetLeafStatusPeriod().AsDuration(),
+	})
+	n.publisher = publisher.New(publisher.Config{
+		Local: n.dispatcher, Clock: n.config.Clock, Period: t.GetLeafStatusPeriod().AsDuration(),
+		Epoch: n.config.Clock.Now().UnixNano(),
 	})
 	n.router = router.New(router.Config{NodeName: name, Messenger: n.messenger, Dispatcher: n.dispatcher})
 	n.searcher = searcher.New(searcher.Config{
--- a/internal/node/assembler/frames.go
+++ b/internal/node/assembler/frames.go
@@ -28,7 +28,7 @@
 		delta := n.relayer.HandlePull(ctx, body.ConfigPull, f.GetConfigDigest())
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ConfigDelta{ConfigDelta: delta}})
 	case *pb.Frame_LeafStatusPull:
-		statuses := &pb.LeafStatuses{Statuses: n.dispatcher.Statuses()}
+		statuses := n.publisher.Pull(ctx, body.LeafStatusPull)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_LeafStatuses{LeafStatuses: statuses}})
 	}
 }
--- a/internal/view/detector/learn.go
+++ b/internal/view/detector/learn.go
@@ -16,6 +16,9 @@
 	}
 	changed := false
 	d.bulk = len(rumours) > 2+maxRumours
+	if d.bulk && len(d.transmissions) > manyRumours {
+		clear(d.transmissions) // what others miss of them, they ask for as this node did
+	}
 	for _, m := range rumours {
 		switch {
 		case m.GetName() == "" || m.GetPeerAddress() == "":
