--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -8,24 +8,30 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/coder/quartz"
 
+	"github.com/magnoliastep/magnoliastep/internal/booking/grouper"
+	"github.com/magnoliastep/magnoliastep/internal/booking/registrar"
 	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
 	"github.com/magnoliastep/magnoliastep/internal/config/healer"
 	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
 	"github.com/magnoliastep/magnoliastep/internal/config/relayer"
 	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
+	"github.com/magnoliastep/magnoliastep/internal/entry/admitter"
 	"github.com/magnoliastep/magnoliastep/internal/entry/publisher"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
+	"github.com/magnoliastep/magnoliastep/internal/entry/tallier"
 	"github.com/magnoliastep/magnoliastep/internal/entry/tracker"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/dispatcher"
+	"github.com/magnoliastep/magnoliastep/internal/operator/pager"
 	operatorserver "github.com/magnoliastep/magnoliastep/internal/operator/server"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/peer/router"
@@ -36,7 +42,6 @@
 )
 
 const (
-	outcomeKeepFor    = 10 * time.Minute
 	readHeaderTimeout = 5 * time.Second
 )
 
@@ -66,9 +71,13 @@
 
 	// Node is one assembled node.
 	Node struct {
-		config     Config
-		asserter   *asserter.Asserter
-		metrics    *metrics.Set
+		config   Config
+		asserter *asserter.Asserter
+		metrics  *metrics.Set
+		// stopping is set from the begin of a planned stop.
+		stopping atomic.Bool
+		// peerWork counts the calls of other nodes that are not answered yet.
+		peerWork   atomic.Int64
 		keeper     *keeper.Keeper
 		watcher    *watcher.Watcher
 		healer     *healer.Healer
@@ -83,8 +92,13 @@
 		router     *router.Router
 		searcher   *searcher.Searcher
 		submitter  *submitter.Submitter
+		grouper    *grouper.Grouper
+		registrar  *registrar.Registrar
 		entry      *entryserver.Server
 		operator   *operatorserver.Server
+		tallier    *tallier.Tallier
+		admitter   *admitter.Admitter
+		pager      *pager.Pager
 	}
 )
 
@@ -118,6 +132,7 @@
 	for _, run := range []func(context.Context){
 		n.watcher.Run, n.relayer.Run, n.healer.Run, n.prober.Run, n.lister.Run,
 		n.dispatcher.Run, n.tracker.Run, n.publisher.Run,
+		n.pager.Run,
 	} {
 		loops.Go(func() { run(loopContext) })
 	}
@@ -150,6 +165,7 @@
 		InvariantViolations: n.asserter.Violations(),
 		PlatformReachable:   n.watcher.Reachable(),
 		InProgress:          n.entry.InProgress(),
+		Stopping:            n.stopping.Load(),
 	}
 }
 
@@ -163,8 +179,8 @@
 	if err != nil {
 		return err
 	}
-	callers := n.httpServer(n.config.Settings.GetCallerAddress(), callerHandler)
-	operators := n.httpServer(n.config.Settings.GetOperatorAddress(), n.operator.Handler())
+	callers := n.callerServer(callerHandler)
+	operators := n.operatorServer(n.operator.Handler())
 	failures := make(chan error, 3)
 	go func() { failures <- n.messenger.Serve(peers) }()
 	go func() { failures <- errors.Wrap(n.listenAndServe(callers), "serve callers") }()
@@ -180,21 +196,9 @@
 	return err
 }
 
-// stop ends the node gracefully: it leaves the view, finishes the requests in flight and goes.
-func (n *Node) stop(servers ...*http.Server) {
-	deadline := n.config.Settings.GetTimings().GetStopDeadline().AsDuration()
-	n.config.Logger.Info("stop begins", "deadline", deadline)
-	n.prober.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), deadline)
-	defer cancel()
-	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
-			n.config.Logger.Error("stop cut requests", "error", err.Error())
-		}
-	}
-	n.config.Logger.Info("stop complete", "in_progress", n.entry.InProgress())
-}
-
 func (n *Node) httpServer(address string, h http.Handler) *http.Server {
-	return &http.Server{Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{
+		Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
 }
--- a/internal/node/assembler/view.go
+++ b/internal/node/assembler/view.go
@@ -39,9 +39,10 @@
 	})
 	_, port, _ := net.SplitHostPort(s.GetPeerAddress())
 	n.lister = lister.New(lister.Config{
-		VMs: n.config.Store, Clock: n.config.Clock, Logger: n.config.Logger, Random: n.random("lister"),
+		VMs: n.newListTee(), Clock: n.config.Clock, Logger: n.config.Logger, Random: n.random("lister"),
 		Period: t.GetListPeriod().AsDuration(), PeerPort: port, Found: n.prober.AddCandidates,
-		Active: func() bool { return !n.prober.Joined() || n.relayer.IsRelay() },
+		// Every node reads the list, because the witnesses of non-idempotent requests must agree on it.
+		Active: func() bool { return true },
 	})
 	n.healer = healer.New(healer.Config{
 		Messenger: n.messenger, Keeper: n.keeper, View: n.prober, Clock: n.config.Clock,
