--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,6 +23,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/config/relayer"
 	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
 	"github.com/magnoliastep/magnoliastep/internal/entry/admitter"
+	"github.com/magnoliastep/magnoliastep/internal/entry/publisher"
 	"github.com/magnoliastep/magnoliastep/internal/entry/searcher"
 	entryserver "github.com/magnoliastep/magnoliastep/internal/entry/server"
 	"github.com/magnoliastep/magnoliastep/internal/entry/tallier"
@@ -69,9 +71,13 @@
 
 	// Node is one assembled node.
 	Node struct {
-		config     Config
-		asserter   *asserter.Asserter
-		metrics    *metrics.Set
+		config   Config
+		asserter *asserter.Asserter
+		metrics  *metrics.Set
+		// stopping is set from the begin of a planned stop.
+		stopping atomic.Bool
+		// peerWork counts the calls of other nodes that are not answered yet.
+		peerWork   atomic.Int64
 		keeper     *keeper.Keeper
 		watcher    *watcher.Watcher
 		healer     *healer.Healer
@@ -82,6 +88,7 @@
 		placer     *placer.Placer
 		dispatcher *dispatcher.Dispatcher
 		tracker    *tracker.Tracker
+		publisher  *publisher.Publisher
 		router     *router.Router
 		searcher   *searcher.Searcher
 		submitter  *submitter.Submitter
@@ -123,7 +130,8 @@
 	defer stopLoops()
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
-		n.watcher.Run, n.relayer.Run, n.healer.Run, n.prober.Run, n.lister.Run, n.dispatcher.Run, n.tracker.Run,
+		n.watcher.Run, n.relayer.Run, n.healer.Run, n.prober.Run, n.lister.Run,
+		n.dispatcher.Run, n.tracker.Run, n.publisher.Run,
 		n.pager.Run,
 	} {
 		loops.Go(func() { run(loopContext) })
@@ -157,6 +165,7 @@
 		InvariantViolations: n.asserter.Violations(),
 		PlatformReachable:   n.watcher.Reachable(),
 		InProgress:          n.entry.InProgress(),
+		Stopping:            n.stopping.Load(),
 	}
 }
 
@@ -187,21 +196,6 @@
 	return err
 }
 
-// stop ends the node gracefully: it leaves the view, finishes the requests in flight and goes.
-func (n *Node) stop(servers ...*http.Server) {
-	deadline := n.config.Settings.GetTimings().GetStopDeadline().AsDuration()
-	n.config.Logger.Info("stop begins", "deadline", deadline)
-	n.prober.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), deadline)
-	defer cancel()
-	for _, s := range servers {
-		if err := s.Shutdown(ctx); err != nil {
-			n.config.Logger.Error("stop cut requests", "error", err.Error())
-		}
-	}
-	n.config.Logger.Info("stop complete", "in_progress", n.entry.InProgress())
-}
-
 func (n *Node) httpServer(address string, h http.Handler) *http.Server {
 	return &http.Server{
 		Addr: address, Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
