--- a/internal/node/assembler/operatorside.go
+++ b/internal/node/assembler/operatorside.go
@@ -49,7 +49,7 @@
 
 // callerServer returns the server of the callers' side; operatorServer that of the operators' side.
 func (n *Node) callerServer(h http.Handler) *http.Server {
-	return n.httpServer(n.config.Settings.GetCallerAddress(), n.guarded(h))
+	return n.httpServer(n.config.Settings.GetCallerAddress(), n.closeWhenStopping(n.guarded(h)))
 }
 
 func (n *Node) operatorServer(h http.Handler) *http.Server {
--- a/test/sessions/commands_test.go
+++ b/test/sessions/commands_test.go
@@ -27,17 +27,12 @@
 	quietPolls     = 20
 )
 
-var volatile = []struct {
-	pattern     *regexp.Regexp
-	replacement string
-}{
-	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[0-9a-f]{4}-[0-9a-f]{12}`), "UUID"},
-	{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
-	{regexp.MustCompile(`127\.45\.\d+\.`), "127.45.N."},
-	{regexp.MustCompile(`"weight": \d+`), `"weight": WEIGHT`},
-}
-
 type (
+	volatileField struct {
+		pattern     *regexp.Regexp
+		replacement string
+	}
+
 	// submits is the background load of non-idempotent requests; each is repeated at a second entry.
 	submits struct {
 		stop    chan struct{}
@@ -65,7 +60,7 @@
 // scrub writes the last output with volatile fields replaced: scrub FILE.
 func scrub(ts *testscript.TestScript, _ bool, args []string) {
 	text := ts.ReadFile("stdout") + ts.ReadFile("stderr")
-	for _, v := range volatile {
+	for _, v := range volatileFields() {
 		text = v.pattern.ReplaceAllString(text, v.replacement)
 	}
 	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(text), 0o600))
@@ -241,3 +236,13 @@
 	}
 	return ""
 }
+
+// volatileFields are the parts of an output that differ between runs.
+func volatileFields() []volatileField {
+	return []volatileField{
+		{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[0-9a-f]{4}-[0-9a-f]{12}`), "UUID"},
+		{regexp.MustCompile(`\d{4}-\d\d-\d\dT[0-9:.]+Z`), "TIME"},
+		{regexp.MustCompile(`127\.45\.\d+\.`), "127.45.N."},
+		{regexp.MustCompile(`"weight": \d+`), `"weight": WEIGHT`},
+	}
+}
