--- a/internal/leaf/sender/sender.go
+++ b/internal/leaf/sender/sender.go
@@ -181,7 +181,8 @@
 func (s *Sender) cancel(ctx context.Context, abort context.CancelFunc, cause error, c Call) {
 	grace, cancel := context.WithTimeout(ctx, cancelGrace)
 	defer cancel()
-	if !errors.Is(cause, context.DeadlineExceeded) && !s.askCancel(grace, c) {
+	// The request outlives the call, whose answer may come first; else its connection would be closed.
+	if !errors.Is(cause, context.DeadlineExceeded) && !s.askCancel(context.WithoutCancel(ctx), c) {
 		abort()
 		return
 	}
@@ -193,6 +194,8 @@
 	if s.noCancel.Load() {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, cancelGrace)
+	defer cancel()
 	c.Path = PathCancel
 	c.Body = ""
 	request, err := s.request(ctx, c)
--- a/internal/view/detector/detector.go
+++ b/internal/view/detector/detector.go
@@ -329,21 +329,30 @@
 // rebuild makes the members be computed anew before they are read next.
 func (d *Detector) rebuild() { d.outdated = true }
 
-// refresh computes the members; the generation changes only with their names and addresses.
-func (d *Detector) refresh() {
-	if !d.outdated {
-		return
-	}
-	d.outdated = false
+// live returns the members that are not leaving, or all that are.
+func (d *Detector) live(leaving bool) []*pb.Member {
 	members := make([]*pb.Member, 0, len(d.records)+1)
-	if !d.superseded && takesWork(d.self) {
+	if !d.superseded && takesWork(d.self) != leaving {
 		members = append(members, d.self)
 	}
 	for _, r := range d.records {
-		if !r.leaving && r.claim.GetState() != pb.MemberState_MEMBER_STATE_DEAD {
+		if r.leaving == leaving && r.claim.GetState() != pb.MemberState_MEMBER_STATE_DEAD {
 			members = append(members, r.claim)
 		}
 	}
+	return members
+}
+
+// refresh computes the members; the generation changes only with their names and addresses.
+func (d *Detector) refresh() {
+	if !d.outdated {
+		return
+	}
+	d.outdated = false
+	members := d.live(false)
+	if len(members) == 0 {
+		members = d.live(true) // all are leaving: they serve to their end
+	}
 	slices.SortFunc(members, func(a, b *pb.Member) int { return strings.Compare(a.GetName(), b.GetName()) })
 	if !slices.EqualFunc(members, d.members, sameNode) {
 		d.generation++
