--- /dev/null
+++ b/internal/node/assembler/process_test.go
@@ -0,0 +1,272 @@
+package assembler_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	network       = "127.43"
+	callers       = 6
+	startDeadline = 30 * time.Second
+	stopDeadline  = 60 * time.Second
+)
+
+type (
+	// processes are stepd and stepfake processes that the test has started, by name.
+	processes struct {
+		t         *testing.T
+		directory string
+		commands  map[string]*exec.Cmd
+	}
+
+	// caller asks for entries, keeps the answer for as long as it says and sends one request after another.
+	caller struct {
+		known   []string
+		entries []string
+		keepTo  time.Time
+		client  *http.Client
+	}
+
+	entriesAnswer struct {
+		Entries []struct {
+			Address string `json:"address"`
+		} `json:"entries"`
+		KeepFor string `json:"keep_for"`
+	}
+)
+
+// newProcesses builds the programs and copies the demo's files to this test's network.
+func newProcesses(t *testing.T) *processes {
+	is := is.New(t)
+	p := &processes{t: t, directory: t.TempDir(), commands: map[string]*exec.Cmd{}}
+	output, err := exec.Command("go", "build", "-o", p.directory, "../../../cmd/stepd", "../../../cmd/stepfake",
+		"../../../cmd/stepctl").CombinedOutput()
+	t.Log(string(output))
+	is.NoErr(err)
+	files, err := filepath.Glob("../../../examples/demo/*.json")
+	is.NoErr(err)
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		is.NoErr(err)
+		text = bytes.ReplaceAll(text, []byte("127.30."), []byte(network+"."))
+		is.NoErr(os.WriteFile(filepath.Join(p.directory, filepath.Base(f)), text, 0o600))
+	}
+	t.Cleanup(func() {
+		for _, c := range p.commands {
+			_ = c.Process.Kill()
+			_ = c.Wait()
+		}
+	})
+	return p
+}
+
+func (p *processes) path(name string) string { return filepath.Join(p.directory, name) }
+
+func (p *processes) start(name, program string, arguments ...string) {
+	log, err := os.Create(p.path(name + ".log"))
+	is.New(p.t).NoErr(err)
+	c := exec.Command(p.path(program), arguments...)
+	c.Stdout, c.Stderr = log, log
+	is.New(p.t).NoErr(c.Start())
+	p.commands[name] = c
+}
+
+// startNode starts the numbered node; zones a, b and c take turns.
+func (p *processes) startNode(i int) {
+	zone := string(rune('a' + i%3))
+	name := fmt.Sprintf("node-%d", i)
+	text, err := os.ReadFile(p.path("node-" + zone + "1.json"))
+	is.New(p.t).NoErr(err)
+	settings := map[string]any{}
+	is.New(p.t).NoErr(json.Unmarshal(text, &settings))
+	address := fmt.Sprintf("%s.9.%d", network, i+1)
+	settings["node_name"] = name
+	for port, field := range map[string]string{"7400": "caller_address", "7200": "operator_address", "7300": "peer_address"} {
+		settings[field] = address + ":" + port
+	}
+	settings["seed_peers"] = []string{network + ".9.1:7300", network + ".9.2:7300"}
+	text, _ = json.Marshal(settings)
+	is.New(p.t).NoErr(os.WriteFile(p.path(name+".json"), text, 0o600))
+	p.start(name, "stepd", "run", "--settings", p.path(name+".json"))
+}
+
+// stopNode ends a node gracefully and checks that it said so.
+func (p *processes) stopNode(name string) {
+	is := is.New(p.t)
+	c := p.commands[name]
+	is.NoErr(c.Process.Signal(syscall.SIGTERM))
+	ended := make(chan error, 1)
+	go func() { ended <- c.Wait() }()
+	select {
+	case err := <-ended:
+		is.NoErr(err) // exit code 0
+	case <-time.After(stopDeadline):
+		is.Fail() // the node does not stop
+	}
+	delete(p.commands, name)
+	log, err := os.ReadFile(p.path(name + ".log"))
+	is.NoErr(err)
+	is.True(strings.Contains(string(log), "stop complete"))
+	is.True(!strings.Contains(string(log), "stop cuts work"))
+}
+
+func (p *processes) startAll(nodes int) {
+	p.start("platform", "stepfake", "platform", "--address", network+".0.1:7000",
+		"--control-address", network+".0.1:7001")
+	for i, zone := range []string{"a", "b", "c"} {
+		p.start("leaves-"+zone, "stepfake", "upstream", "--config", p.path("config.json"), "--zone", "zone-"+zone,
+			"--control-address", fmt.Sprintf("%s.0.1:701%d", network, i))
+	}
+	for i := range nodes {
+		p.startNode(i)
+	}
+	p.waitFor("first operator", func() bool {
+		return p.control("bootstrap-token", "apply", "-f", p.path("config.json"), "--only", "operator", "--reason", "test")
+	})
+	p.waitFor("configuration", func() bool {
+		return p.control("operator-1-token", "apply", "-f", p.path("config.json"), "--reason", "test")
+	})
+}
+
+func (p *processes) control(token string, arguments ...string) bool {
+	c := exec.Command(p.path("stepctl"), arguments...)
+	c.Env = append(os.Environ(), "STEPCTL_NODE="+network+".9.1:7200", "STEPCTL_TOKEN="+token)
+	output, err := c.CombinedOutput()
+	if err != nil {
+		p.t.Logf("stepctl %v: %s", arguments, output)
+	}
+	return err == nil
+}
+
+func (p *processes) waitFor(what string, condition func() bool) {
+	p.t.Helper()
+	for until := time.Now().Add(startDeadline); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	p.t.Fatalf("%s did not happen within %v", what, startDeadline)
+}
+
+func newCaller(nodes int) *caller {
+	c := &caller{client: &http.Client{Timeout: 5 * time.Second}}
+	for i := range nodes {
+		c.known = append(c.known, fmt.Sprintf("%s.9.%d:7400", network, i+1))
+	}
+	return c
+}
+
+// refresh asks any node for entries when the answer at hand may no longer be kept.
+func (c *caller) refresh() {
+	if time.Now().Before(c.keepTo) {
+		return
+	}
+	for _, i := range rand.Perm(len(c.known)) {
+		response, err := c.client.Get("http://" + c.known[i] + "/v1/entries")
+		if err != nil {
+			continue
+		}
+		answer := entriesAnswer{}
+		err = json.NewDecoder(response.Body).Decode(&answer)
+		_ = response.Body.Close()
+		keepFor, _ := time.ParseDuration(answer.KeepFor)
+		if err != nil || len(answer.Entries) == 0 {
+			continue
+		}
+		c.entries = nil
+		for _, e := range answer.Entries {
+			c.entries = append(c.entries, e.Address)
+		}
+		c.keepTo = time.Now().Add(keepFor)
+		return
+	}
+}
+
+// search returns the answer's code, or what went wrong.
+func (c *caller) search() string {
+	c.refresh()
+	if len(c.entries) == 0 {
+		return "no entries"
+	}
+	body := strings.NewReader(`{"service":"towpath-desk","class":"stalls","query":"free stalls"}`)
+	address := c.entries[rand.IntN(len(c.entries))]
+	request, _ := http.NewRequest(http.MethodPost, "http://"+address+"/v1/search", body)
+	request.Header.Set("Authorization", "Bearer skippers-token")
+	response, err := c.client.Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err.Error()
+	}
+	answer := struct {
+		Code string `json:"code"`
+	}{}
+	_ = json.Unmarshal(text, &answer)
+	return answer.Code
+}
+
+// callWhile sends requests from several callers while the work runs and returns the outcomes.
+func callWhile(nodes int, work func()) map[string]int {
+	outcomes := map[string]int{}
+	var mutex sync.Mutex
+	var ended atomic.Bool
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			for c := newCaller(nodes); !ended.Load(); time.Sleep(5 * time.Millisecond) {
+				outcome := c.search()
+				mutex.Lock()
+				outcomes[outcome]++
+				mutex.Unlock()
+			}
+		})
+	}
+	work()
+	ended.Store(true)
+	running.Wait()
+	return outcomes
+}
+
+// TestPlannedStopsCutNoRequest stops one node, then three at once, while callers go on.
+func TestPlannedStopsCutNoRequest(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	const nodes = 6
+	is := is.New(t)
+	p := newProcesses(t)
+	p.startAll(nodes)
+	p.waitFor("whole answer", func() bool { return newCaller(nodes).search() == "RESULT_CODE_OK" })
+	time.Sleep(5 * time.Second) // the view settles and leaves warm up
+	outcomes := callWhile(nodes, func() {
+		p.stopNode("node-0")
+		var stops sync.WaitGroup
+		for _, name := range []string{"node-1", "node-2", "node-3"} {
+			stops.Go(func() { p.stopNode(name) })
+		}
+		stops.Wait()
+	})
+	t.Logf("outcomes: %v", outcomes)
+	for outcome := range outcomes {
+		is.True(outcome == "RESULT_CODE_OK" || outcome == "RESULT_CODE_PARTIAL") // nothing was cut or refused
+	}
+}
