Close idle links and end those to dead peers

Cause: probing random peers of a large fleet would keep a link to every node open, with buffers of some hundred kilobytes each; calls to a frozen peer waited until their own deadline. Closing a link while it connected raced with the connecting goroutine. Change: above 64 links those idle for 15 s are closed; the view drops the link of a node that it declares dead, so open calls fail with ErrPeerLost at once; a link is closed only after its attempt to connect.

--- a/internal/node/assembler/view.go
+++ b/internal/node/assembler/view.go
@@ -35,7 +35,7 @@
 		Asserter: n.asserter, Metrics: n.metrics, Random: n.random("prober"),
 		ProbePeriod: t.GetProbePeriod().AsDuration(), ProbeTimeout: t.GetProbeTimeout().AsDuration(),
 		SuspicionPeriod: t.GetSuspicionPeriod().AsDuration(), SeedPeers: s.GetSeedPeers(),
-		Load: func() uint32 { return n.entry.InProgress() },
+		Load: func() uint32 { return n.entry.InProgress() }, Dead: n.messenger.Drop,
 	})
 	_, port, _ := net.SplitHostPort(s.GetPeerAddress())
 	n.lister = lister.New(lister.Config{
--- a/internal/peer/messenger/link.go
+++ b/internal/peer/messenger/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,8 +23,10 @@
 		// done is closed when the link has ended.
 		done      chan struct{}
 		closeOnce sync.Once
-		session   *yamux.Session
-		writers   map[Plane]*writer
+		// usedAt is when the link was last asked for, in nanoseconds since the Unix epoch.
+		usedAt  atomic.Int64
+		session *yamux.Session
+		writers map[Plane]*writer
 		// failure is set before ready is closed when connecting failed.
 		failure error
 		mutex   sync.Mutex
@@ -126,6 +129,18 @@
 	deliver(f.GetId(), f, nil)
 }
 
+// idle tells whether the link is connected and no call waits for a reply.
+func (l *link) idle() bool {
+	select {
+	case <-l.ready:
+	default:
+		return false
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.open) == 0
+}
+
 func (l *link) expect(ids []uint64, deliver Deliver) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -168,6 +183,19 @@
 	l.failOpen()
 }
 
+// closeWhenReady closes the link after the attempt to connect has ended; it does not wait for that.
+func (l *link) closeWhenReady() {
+	select {
+	case <-l.ready:
+		l.close()
+	default:
+		go func() {
+			<-l.ready
+			l.close()
+		}()
+	}
+}
+
 // failOpen delivers ErrPeerLost to every open call.
 func (l *link) failOpen() {
 	l.mutex.Lock()
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -27,6 +27,10 @@
 	maxFrameBytes     = 16 << 20 // 16 MiB
 	writeQueueFrames  = 4096
 	handlerLimit      = 4096
+
+	// keptLinks are kept open however idle they are; above them, links idle for idlePeriod are closed.
+	keptLinks  = 64
+	idlePeriod = 15 * time.Second
 )
 
 const (
@@ -190,7 +194,7 @@
 	m.accepted = map[*yamux.Session]struct{}{}
 	m.mutex.Unlock()
 	for _, l := range links {
-		l.close()
+		l.closeWhenReady()
 	}
 	for s := range sessions {
 		_ = s.Close()
@@ -212,14 +216,48 @@
 	}
 	l := m.links[address]
 	if l == nil || l.ended() {
+		m.closeIdleLocked()
 		l = newLink(m, address)
 		m.links[address] = l
 		go l.connect()
 	}
+	l.usedAt.Store(time.Now().UnixNano())
 	m.mutex.Unlock()
 	return l, l.wait(ctx)
 }
 
+// Drop ends the link to the address, so that calls which wait for a dead peer fail at once.
+func (m *Messenger) Drop(address string) {
+	m.mutex.Lock()
+	l := m.links[address]
+	delete(m.links, address)
+	m.mutex.Unlock()
+	if l != nil {
+		l.closeWhenReady()
+	}
+}
+
+// Links returns how many links to peers are open.
+func (m *Messenger) Links() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return len(m.links)
+}
+
+// closeIdleLocked bounds the links: a large fleet is probed member by member, each over a link of its own.
+func (m *Messenger) closeIdleLocked() {
+	if len(m.links) < keptLinks {
+		return
+	}
+	before := time.Now().Add(-idlePeriod).UnixNano()
+	for address, l := range m.links {
+		if l.ended() || (l.usedAt.Load() < before && l.idle()) {
+			delete(m.links, address)
+			go l.close()
+		}
+	}
+}
+
 func (m *Messenger) serveConnection(connection net.Conn) {
 	session, err := yamux.Server(connection, sessionConfig())
 	if err != nil {
