--- a/internal/config/watcher/watcher.go
+++ b/internal/config/watcher/watcher.go
@@ -56,6 +56,8 @@
 	Watcher struct {
 		config    Config
 		reachable atomic.Bool
+		// failing is set from the first failed attempt to the next that succeeds.
+		failing bool
 		// listedAt is when everything was listed last; zero asks for it now.
 		listedAt time.Time
 	}
@@ -91,18 +93,33 @@
 			if !w.reachable.Swap(true) {
 				w.config.Logger.Info("platform reachable", "revision", w.config.Keeper.CompleteTo())
 			}
+			w.failing = false
 			pause.Reset()
 			continue
 		}
 		pause.MaxInterval = w.config.MaxPause()
 		next := pause.NextBackOff()
-		if w.reachable.Swap(false) {
-			w.config.Logger.Warn("platform not reachable", "error", err.Error(), "pause", next)
-		}
+		w.reachable.Store(false)
+		w.logFailure(err)
 		w.sleep(ctx, next)
 	}
 }
 
+// logFailure says once for each outage what the node does without the platform.
+func (w *Watcher) logFailure(err error) {
+	if w.failing {
+		return
+	}
+	w.failing = true
+	if w.config.Keeper.CompleteTo() == 0 {
+		w.config.Logger.Warn("no configuration yet: waiting for the platform or for a node that has one",
+			"error", err.Error())
+		return
+	}
+	w.config.Logger.Warn("platform not reachable: the configuration in force stays", "error", err.Error(),
+		"revision", w.config.Keeper.CompleteTo())
+}
+
 // step reads everything when nothing is known yet or the last list is old, and what is newer otherwise.
 func (w *Watcher) step(ctx context.Context) error {
 	revision := w.config.Keeper.CompleteTo()
--- a/internal/node/assembler/process_test.go
+++ b/internal/node/assembler/process_test.go
@@ -270,3 +270,58 @@
 		is.True(outcome == "RESULT_CODE_OK" || outcome == "RESULT_CODE_PARTIAL") // nothing was cut or refused
 	}
 }
+
+func (p *processes) setOutage(outage bool) {
+	body := strings.NewReader(fmt.Sprintf(`{"outage":%t}`, outage))
+	response, err := http.Post("http://"+network+".0.1:7001/behaviour", "application/json", body)
+	is.New(p.t).NoErr(err)
+	_ = response.Body.Close()
+}
+
+// whole tells whether the numbered node itself answers a search in full.
+func whole(i int) bool {
+	c := &caller{
+		entries: []string{fmt.Sprintf("%s.9.%d:7400", network, i+1)}, keepTo: time.Now().Add(time.Hour),
+		client: &http.Client{Timeout: time.Second},
+	}
+	return c.search() == "RESULT_CODE_OK"
+}
+
+// TestNodesRestartWithoutPlatform replaces one node during an outage of the platform, then all at once.
+func TestNodesRestartWithoutPlatform(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	const nodes = 3
+	is := is.New(t)
+	p := newProcesses(t)
+	p.startAll(nodes)
+	for i := range nodes {
+		p.waitFor("whole answer", func() bool { return whole(i) })
+	}
+	p.setOutage(true)
+	is.NoErr(p.commands["node-2"].Process.Kill())
+	_ = p.commands["node-2"].Wait()
+	p.startNode(2)
+	p.waitFor("replaced node serves during the outage", func() bool { return whole(2) })
+	for i := range nodes {
+		name := fmt.Sprintf("node-%d", i)
+		is.NoErr(p.commands[name].Process.Kill())
+		_ = p.commands[name].Wait()
+	}
+	for i := range nodes {
+		p.startNode(i)
+	}
+	p.waitFor("the log says what is waited for", func() bool {
+		said := 0
+		for i := range nodes {
+			log, _ := os.ReadFile(p.path(fmt.Sprintf("node-%d.log", i)))
+			said += strings.Count(string(log), "waiting for the platform")
+		}
+		return said >= 1
+	})
+	p.setOutage(false)
+	for i := range nodes {
+		p.waitFor("whole answer after the outage", func() bool { return whole(i) })
+	}
+}
