Let new witnesses take the rosters in force from a node that knows the fleet

Cause: a node that joined during an outage of the platform could not read the list and was no witness for ten minutes; in a fleet of three with one VM replaced no majority was left. A new node also knew only the newest roster, not those that still count. Ruled out: to count a node as ready by its uptime alone (a double run in the model, cut from the start); to let fresh nodes grant without the old rosters. Change: a new node pulls the rosters from its peers every half second until one that is ready answers; only when there is none for 2 s does it rely on the list. Searches and submits carry worth and full worth to the owners' queues; a refused connection is marked as not sent, so its retry costs no budget.

--- a/internal/booking/grouper/grouper.go
+++ b/internal/booking/grouper/grouper.go
@@ -26,6 +26,8 @@
 	perZone        = 2
 	missesToRemove = 2
 	unseenLifetime = 10 * time.Minute
+	// adoptFirst is the time for which a new node looks for one that is ready.
+	adoptFirst = 2 * time.Second
 )
 
 type (
@@ -90,8 +92,8 @@
 	g.turnLocked(changed)
 }
 
-// Ready tells whether this node knows the fleet well enough to be a witness: it runs for long, or it has
-// seen every VM on the list as a node. It stays true.
+// Ready tells whether this node knows the fleet well enough to be a witness: it has the roster of one
+// that does, it has seen every VM on the list as a node, or it runs for long. It stays true.
 func (g *Grouper) Ready() bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -99,6 +101,43 @@
 	return g.ready
 }
 
+// Roster returns the nodes of the rosters in force, or nothing while this node is not ready.
+func (g *Grouper) Roster() *pb.WitnessRoster {
+	if !g.Ready() {
+		return &pb.WitnessRoster{}
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	last := len(g.rosters) - 1
+	current := &pb.WitnessRoster{Members: g.rosters[last].members}
+	for _, r := range g.rosters[:last] {
+		current.Previous = append(current.Previous, &pb.WitnessRoster{Members: r.members})
+	}
+	return current
+}
+
+// Adopt takes the rosters of a node that is ready; this one is as ready as that one then.
+func (g *Grouper) Adopt(r *pb.WitnessRoster) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if len(r.GetMembers()) == 0 || g.ready {
+		return
+	}
+	g.observeViewLocked()
+	for _, m := range r.GetMembers() {
+		if g.nodes[m.GetName()] == nil {
+			g.nodes[m.GetName()] = m
+		}
+	}
+	now := g.config.Clock.Now()
+	g.rosters = nil
+	for _, p := range append(r.GetPrevious(), r) {
+		g.rosters = append(g.rosters, roster{members: p.GetMembers(), endedAt: now})
+	}
+	g.ready = true
+	g.turnLocked(true)
+}
+
 // Groups returns the groups of the id, the current one first.
 func (g *Grouper) Groups(id string) [][]*pb.Member {
 	g.mutex.Lock()
@@ -223,7 +262,8 @@
 		g.rosters = append(g.rosters, roster{members: members})
 	}
 	wasReady := g.ready
-	g.ready = g.ready || now.Sub(g.startedAt) >= unseenLifetime || g.sawAllListedLocked()
+	g.ready = g.ready || now.Sub(g.startedAt) >= unseenLifetime ||
+		(now.Sub(g.startedAt) >= adoptFirst && g.sawAllListedLocked())
 	g.rosters = slices.DeleteFunc(g.rosters, func(r roster) bool {
 		return !r.endedAt.IsZero() && (!wasReady || now.Sub(r.endedAt) >= g.config.Settle)
 	})
--- a/internal/booking/submitter/fleet_test.go
+++ b/internal/booking/submitter/fleet_test.go
@@ -141,6 +141,14 @@
 	f.mutex.Unlock()
 	for _, n := range nodes {
 		n.grouper.ObserveList(listed)
+		for _, m := range n.Members() {
+			f.mutex.Lock()
+			o := f.nodes[m.GetName()]
+			f.mutex.Unlock()
+			if !n.grouper.Ready() && o != n {
+				n.grouper.Adopt(o.grouper.Roster())
+			}
+		}
 	}
 }
 
--- a/internal/booking/submitter/run.go
+++ b/internal/booking/submitter/run.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		tried = append(tried, g)
-		reply := s.send(ctx, callOf(r, g.Leaf().GetName(), timeLeft, deadline))
+		reply := s.send(ctx, s.callOf(r, g.Leaf().GetName(), timeLeft, deadline))
 		if reply.GetCode() != pb.ResultCode_RESULT_CODE_NOT_RUN {
 			return reply
 		}
--- a/internal/booking/submitter/submitter.go
+++ b/internal/booking/submitter/submitter.go
@@ -256,9 +256,12 @@
 }
 
 // callOf returns the call to the leaf.
-func callOf(r *pb.SubmitRequest, leaf string, timeLeft time.Duration, notAfter time.Time) *pb.SubmitCall {
+func (s *Submitter) callOf(
+	r *pb.SubmitRequest, leaf string, timeLeft time.Duration, notAfter time.Time,
+) *pb.SubmitCall {
 	return &pb.SubmitCall{
 		Service: r.GetService(), Class: r.GetClass(), RequestId: r.GetRequestId(), Partition: r.GetPartition(),
 		Payload: r.GetPayload(), TimeLeft: router.TimeLeft(timeLeft), Leaf: leaf, NotAfter: timestamppb.New(notAfter),
+		Worth: s.config.Source.Index().Class(r.GetService(), r.GetClass()).GetWorth(),
 	}
 }
--- a/internal/entry/searcher/sending.go
+++ b/internal/entry/searcher/sending.go
@@ -249,7 +249,8 @@
 	return &pb.LeafBatch{
 		RequestId: q.request.GetRequestId(), Service: q.request.GetService(), Class: q.request.GetClass(),
 		Query: q.request.GetQuery(), Snapshot: q.layout.Snapshot(), TimeLeft: router.TimeLeft(q.answerBy.Sub(now)),
-		Worth: q.class.GetWorth(),
+		FullWorthLeft: router.TimeLeft(q.valuer.FullWorthUntil() - now.Sub(q.arrivedAt)),
+		Worth:         q.class.GetWorth(),
 	}
 }
 
--- a/internal/leaf/dispatcher/job.go
+++ b/internal/leaf/dispatcher/job.go
@@ -120,6 +120,8 @@
 		CallId: c.GetCallId(), Code: o.code, Snapshot: b.GetSnapshot(), Partition: c.GetPartition(),
 		Payload: o.answer.Payload, RequestId: b.GetRequestId(), LeafLatency: durationpb.New(o.latency),
 		ExpectedWait: durationpb.New(o.wait), ExpectedLatency: durationpb.New(o.expected),
+		// A refused connection costs the leaf nothing; a call that was not sent for want of capacity is no such case.
+		NotSent: o.code == pb.ResultCode_RESULT_CODE_LEAF_UNREACHABLE && o.answer.NotRun,
 	}
 }
 
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -124,6 +124,7 @@
 	var loops sync.WaitGroup
 	for _, run := range []func(context.Context){
 		n.watcher.Run, n.relayer.Run, n.healer.Run, n.prober.Run, n.lister.Run, n.dispatcher.Run, n.tracker.Run,
+		n.learnRoster,
 		n.pager.Run,
 	} {
 		loops.Go(func() { run(loopContext) })
--- a/internal/node/assembler/bookingside.go
+++ b/internal/node/assembler/bookingside.go
@@ -13,6 +13,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/booking/registrar"
 	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/platform/client"
 )
 
@@ -21,6 +22,7 @@
 	clockAllowance     = time.Second
 	witnessGroupSettle = 2 * time.Minute
 	claimTimeout       = 250 * time.Millisecond
+	rosterPullPeriod   = 500 * time.Millisecond
 )
 
 type (
@@ -74,3 +76,32 @@
 		NewToken: func() string { return n.config.Settings.GetNodeName() + "/" + uuid.NewString() },
 	})
 }
+
+// learnRoster asks the other nodes for their roster until this node knows the fleet.
+func (n *Node) learnRoster(ctx context.Context) {
+	ticker := n.config.Clock.NewTicker(rosterPullPeriod)
+	defer ticker.Stop()
+	for !n.grouper.Ready() {
+		for _, m := range n.prober.Members() {
+			if m.GetName() != n.config.Settings.GetNodeName() {
+				n.pullRoster(ctx, m)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) pullRoster(ctx context.Context, m *pb.Member) {
+	ctx, cancel := context.WithTimeout(ctx, rosterPullPeriod)
+	defer cancel()
+	frame := &pb.Frame{Body: &pb.Frame_WitnessRosterPull{WitnessRosterPull: &pb.WitnessRosterPull{}}}
+	reply, err := n.messenger.Call(ctx, m.GetPeerAddress(), messenger.PlaneControl, frame)
+	if err != nil {
+		return
+	}
+	n.grouper.Adopt(reply.GetWitnessRoster())
+}
--- a/internal/node/assembler/frames.go
+++ b/internal/node/assembler/frames.go
@@ -18,6 +18,9 @@
 	case *pb.Frame_SubmitClaim:
 		r := n.registrar.Claim(body.SubmitClaim)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_SubmitClaimReply{SubmitClaimReply: r}})
+	case *pb.Frame_WitnessRosterPull:
+		r := n.grouper.Roster()
+		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_WitnessRoster{WitnessRoster: r}})
 	case *pb.Frame_SubmitSettle:
 		n.registrar.Settle(body.SubmitSettle)
 	case *pb.Frame_SubmitCall:
