--- a/internal/leaf/dispatcher/dispatcher.go
+++ b/internal/leaf/dispatcher/dispatcher.go
@@ -180,13 +180,13 @@
 	j := d.submitJob(ctx, c, func(r *pb.SubmitReply) { replies <- r })
 	j.enqueuedAt = d.config.Clock.Now()
 	j.deadline = j.enqueuedAt.Add(c.GetTimeLeft().AsDuration())
-	if c.GetNotAfter() != nil && c.GetNotAfter().AsTime().Before(j.deadline) {
-		j.deadline = c.GetNotAfter().AsTime()
+	j.fullWorthUntil = j.deadline
+	if c.GetNotAfter() != nil {
+		j.notAfter = c.GetNotAfter().AsTime()
 	}
-	if !j.enqueuedAt.Before(j.deadline) {
-		return submitReply(c, outcome{message: "held up until its time was over"})
+	if j.heldUp(j.enqueuedAt) {
+		return submitReply(c, heldUpOutcome())
 	}
-	j.fullWorthUntil = j.deadline
 	d.start(j)
 	return <-replies
 }
