--- a/internal/command/controller/audit.go
+++ b/internal/command/controller/audit.go
@@ -13,6 +13,12 @@
 	}
 )
 
+// Help shows examples.
+func (v *auditVerb) Help() string {
+	return "Shows archived changes and those of deleted objects too.\n\n" +
+		"Examples:\n  stepctl audit\n  stepctl audit service/towpath-desk --output json"
+}
+
 // Run implements the verb.
 func (v *auditVerb) Run(s *session) error {
 	ctx, cancel := s.context()
@@ -31,12 +37,12 @@
 	for _, c := range response.Msg.GetChanges() {
 		rows = append(rows, auditRow(c))
 	}
-	return s.table("WHEN\tWHO\tWHAT\tBEFORE\tWHY\tCHANGE", rows)
+	return s.table("WHEN\tWHO\tWHAT\tBEFORE\tAFTER\tWHY\tCHANGE", rows)
 }
 
 func auditRow(c *pb.KeyedChange) string {
 	change := c.GetChange()
-	return fmt.Sprintf("%s\t%s\t%s\t%d\t%s\t%s",
+	return fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%s\t%s",
 		change.GetChangedAt().AsTime().Format(time.RFC3339), change.GetActor(), change.GetSummary(),
-		change.GetVersionBefore(), change.GetReason(), change.GetChangeId())
+		change.GetVersionBefore(), c.GetVersionAfter(), change.GetReason(), change.GetChangeId())
 }
--- a/internal/command/controller/status.go
+++ b/internal/command/controller/status.go
@@ -2,16 +2,24 @@
 
 import (
 	"fmt"
+	"sort"
 
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 )
 
 type (
 	statusVerb struct {
-		Leaves bool `help:"Show the leaves that the node owns."`
+		Leaves   bool `xor:"what" help:"Show the leaves that the node owns, with their limits."`
+		Versions bool `xor:"what" help:"Show the version of each object in force at the node."`
 	}
 )
 
+// Help shows examples.
+func (v *statusVerb) Help() string {
+	return "Asks the first node of --node that answers.\n\n" +
+		"Examples:\n  stepctl status\n  stepctl --node 127.0.0.1:7200 status --leaves\n  stepctl status --versions"
+}
+
 // Run implements the verb.
 func (v *statusVerb) Run(s *session) error {
 	ctx, cancel := s.context()
@@ -30,9 +38,21 @@
 	if v.Leaves {
 		return s.table("LEAF\tLIMIT\tIN FLIGHT\tCOLD\tDRAINING\tREACHABLE", leafRows(status))
 	}
+	if v.Versions {
+		return s.table("KEY\tVERSION", versionRows(status))
+	}
 	return s.table("MEMBER\tZONE\tSTATE\tCALLER ADDRESS", memberRows(status))
 }
 
+func versionRows(status *pb.GetStatusResponse) []string {
+	rows := make([]string, 0, len(status.GetConfigVersions()))
+	for key, version := range status.GetConfigVersions() {
+		rows = append(rows, fmt.Sprintf("%s\t%d", key, version))
+	}
+	sort.Strings(rows)
+	return rows
+}
+
 func memberRows(status *pb.GetStatusResponse) []string {
 	rows := make([]string, 0, len(status.GetMembers()))
 	for _, m := range status.GetMembers() {
--- a/internal/entry/admitter/admitter.go
+++ b/internal/entry/admitter/admitter.go
@@ -65,9 +65,12 @@
 		version int64
 		// seenAt is when this node first saw the version, on the monotonic clock.
 		seenAt time.Time
-		// credit grows by the granted share with each request and pays for refusals; it stays within
-		// 0 and 1, so that refusals never exceed the share of the requests seen.
+		// credit grows by the granted share with each request, and each refusal takes 1 of it; it stays
+		// within 0 and 1 between requests, so that refusals never exceed the share of the requests seen and
+		// do not come in bursts.
 		credit float64
+		// spared is set when the last request that the share would have let be refused was admitted.
+		spared bool
 		// askedAt is when the class was asked for last.
 		askedAt time.Time
 		// seen and refused count the requests since seenAt; refused <= share * seen.
@@ -118,8 +121,13 @@
 	}
 	h.seen++
 	h.askedAt = a.config.Clock.Now()
-	h.credit = min(1, h.credit+h.grant.GetShare())
-	if h.credit < 1 || !a.overloadedLocked(class) || a.lowerFirstLocked(class) {
+	h.credit += h.grant.GetShare()
+	if h.credit < 1 {
+		return nil
+	}
+	if !a.overloadedLocked(class) || a.lowerFirstLocked(class) {
+		h.credit = 1
+		h.spared = true
 		return nil
 	}
 	return a.refuseLocked(class, h)
@@ -137,6 +145,7 @@
 
 func (a *Admitter) refuseLocked(class *pb.Class, h *heldGrant) error {
 	h.credit--
+	h.spared = false
 	h.refused++
 	a.refused.Inc()
 	a.config.Asserter.Check(a.inForceLocked(class.GetService(), class.GetName()) == h,
@@ -178,13 +187,13 @@
 }
 
 // lowerFirstLocked tells whether a class of the same service with a lower worth is asked for and has a
-// grant whose share is not used up by refusals yet.
+// grant whose share its refusals do not use up yet.
 func (a *Admitter) lowerFirstLocked(class *pb.Class) bool {
 	for _, c := range a.config.Source.Index().Classes() {
 		if c.GetService() != class.GetService() || c.GetWorth() >= class.GetWorth() {
 			continue
 		}
-		if h := a.inForceLocked(c.GetService(), c.GetName()); h != nil && h.credit >= 1 &&
+		if h := a.inForceLocked(c.GetService(), c.GetName()); h != nil && h.spared &&
 			a.config.Clock.Since(h.askedAt) < askedFor {
 			return true
 		}
--- a/internal/entry/admitter/admitter_test.go
+++ b/internal/entry/admitter/admitter_test.go
@@ -166,6 +166,22 @@
 	}
 }
 
+func TestTheGrantedShareCanBeUsed(t *testing.T) {
+	for _, share := range []float64{0.05, 0.3, 0.5, 0.8, 1} {
+		w := newWorld(t)
+		w.short = true
+		w.grant("low", share, time.Hour, w.clock.Now().Add(time.Hour))
+		refused := 0
+		for range 1000 {
+			if w.refuses(w.classes[0]) {
+				refused++
+			}
+		}
+		is.New(t).True(float64(refused) <= 1000*share)
+		is.New(t).True(float64(refused) >= 1000*share-1)
+	}
+}
+
 func TestLowestWorthIsRefusedFirst(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t)
