--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -179,7 +179,7 @@
 	if err != nil {
 		return err
 	}
-	callers := n.callerServer(n.closeWhenStopping(callerHandler))
+	callers := n.callerServer(callerHandler)
 	operators := n.operatorServer(n.operator.Handler())
 	failures := make(chan error, 3)
 	go func() { failures <- n.messenger.Serve(peers) }()
--- a/internal/node/assembler/process_test.go
+++ b/internal/node/assembler/process_test.go
@@ -97,7 +97,8 @@
 	is.New(p.t).NoErr(json.Unmarshal(text, &settings))
 	address := fmt.Sprintf("%s.9.%d", network, i+1)
 	settings["node_name"] = name
-	for port, field := range map[string]string{"7400": "caller_address", "7200": "operator_address", "7300": "peer_address"} {
+	fields := map[string]string{"7400": "caller_address", "7200": "operator_address", "7300": "peer_address"}
+	for port, field := range fields {
 		settings[field] = address + ":" + port
 	}
 	settings["seed_peers"] = []string{network + ".9.1:7300", network + ".9.2:7300"}
