Keep the VMs of leaves out of the witnesses

Cause: the platform's list names upstream VMs too. A node that starts with the whole fleet is a witness once it has seen every listed VM, so it waited ten minutes for VMs that never answer: every submit was answered 'outcome unknown' until then, and a leaf VM added later took a witness's place for ten minutes. Ruled out: asking the VMs (a leaf's VM does not answer, like a dead node). Change: the list is passed to the witnesses without the IP numbers of configured leaves, and not before there is a configuration.

--- a/internal/config/indexer/indexer.go
+++ b/internal/config/indexer/indexer.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"net"
 	"sort"
 
 	"github.com/magnoliastep/magnoliastep/internal/config/keyer"
@@ -26,6 +27,8 @@
 		pages map[string]*pb.Page
 		// leaves holds each leaf of each service once.
 		leaves map[string]LeafEntry
+		// leafIPs has the IP number of each leaf.
+		leafIPs map[string]bool
 		// callersByHash and operatorsByHash have lower-case hex SHA-256 keys.
 		callersByHash   map[string]*pb.Caller
 		operatorsByHash map[string]*pb.Operator
@@ -49,6 +52,7 @@
 		grants:          map[string]*pb.Grant{},
 		pages:           map[string]*pb.Page{},
 		leaves:          map[string]LeafEntry{},
+		leafIPs:         map[string]bool{},
 		callersByHash:   map[string]*pb.Caller{},
 		operatorsByHash: map[string]*pb.Operator{},
 	}
@@ -115,6 +119,9 @@
 	return l, ok
 }
 
+// IsLeafIP tells whether a leaf has the IP number.
+func (x *Index) IsLeafIP(ip string) bool { return x.leafIPs[ip] }
+
 // LeafCount returns the number of leaves.
 func (x *Index) LeafCount() int { return len(x.leaves) }
 
@@ -180,5 +187,8 @@
 	x.services[s.GetName()] = s
 	for _, l := range s.GetLeaves() {
 		x.leaves[l.GetName()] = LeafEntry{Service: s, Leaf: l}
+		if ip, _, err := net.SplitHostPort(l.GetAddress()); err == nil {
+			x.leafIPs[ip] = true
+		}
 	}
 }
--- a/internal/node/assembler/bookingside.go
+++ b/internal/node/assembler/bookingside.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/booking/recorder"
 	"github.com/magnoliastep/magnoliastep/internal/booking/registrar"
 	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
+	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/platform/client"
@@ -26,9 +27,11 @@
 )
 
 type (
-	// listTee passes each list of VMs on to observe.
+	// listTee passes each list of VMs on to observe, without the VMs of leaves. It passes nothing on before
+	// the configuration tells which VMs these are.
 	listTee struct {
 		store   Store
+		source  *keeper.Keeper
 		port    string
 		observe func(vms []*pb.Member)
 	}
@@ -40,8 +43,15 @@
 	if err != nil {
 		return nil, err
 	}
+	index := l.source.Index()
+	if index.LeafCount() == 0 {
+		return vms, nil
+	}
 	members := make([]*pb.Member, 0, len(vms))
 	for _, v := range vms {
+		if index.IsLeafIP(v.IP) {
+			continue
+		}
 		members = append(members, &pb.Member{
 			Name: v.Name, AvailabilityZone: v.AvailabilityZone, PeerAddress: net.JoinHostPort(v.IP, l.port),
 		})
@@ -54,7 +64,7 @@
 func (n *Node) newListTee() listTee {
 	_, port, _ := net.SplitHostPort(n.config.Settings.GetPeerAddress())
 	return listTee{
-		store: n.config.Store, port: port, observe: func(vms []*pb.Member) { n.grouper.ObserveList(vms) },
+		store: n.config.Store, source: n.keeper, port: port, observe: func(vms []*pb.Member) { n.grouper.ObserveList(vms) },
 	}
 }
 
