--- a/test/sessions/cluster_test.go
+++ b/test/sessions/cluster_test.go
@@ -13,7 +13,7 @@
 
 const (
 	// patience bounds each wait; it is far above what any condition needs.
-	patience   = 30 * time.Second
+	patience   = 60 * time.Second
 	pollPeriod = 100 * time.Millisecond
 )
 
@@ -65,9 +65,18 @@
 		_ = p.command.Process.Kill()
 		<-p.exited
 		_ = log.Close()
+		reportPanic(ts, log.Name())
 	})
 }
 
+// reportPanic shows why a process crashed.
+func reportPanic(ts *testscript.TestScript, file string) {
+	text, _ := os.ReadFile(file)
+	if i := strings.Index(string(text), "panic:"); i >= 0 {
+		ts.Logf("%s: %.4000s", file, text[i:])
+	}
+}
+
 // signal sends a signal: signal NAME TERM|KILL|STOP|CONT.
 func signal(ts *testscript.TestScript, neg bool, args []string) {
 	signals := map[string]syscall.Signal{
--- a/test/sessions/sessions_test.go
+++ b/test/sessions/sessions_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +20,9 @@
 const (
 	examples     = "../../examples/demo"
 	hostsPerZone = 60
+	// sessionStride is above the number of sessions.
+	sessionStride = 20
+	maxNetworks   = 250
 )
 
 var demoAddress = regexp.MustCompile(`127\.30\.(\d+)\.(\d+)`)
@@ -52,8 +56,25 @@
 	}
 }
 
+// reserve returns the number of a loopback network that no other run on this machine uses, and holds it until
+// the session ends.
+func reserve(e *testscript.Env, session int) (int, error) {
+	for network := session; network < maxNetworks; network += sessionStride {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.45.%d.250:6999", network))
+		if err == nil {
+			e.Defer(func() { _ = l.Close() })
+			return network, nil
+		}
+	}
+	return 0, fmt.Errorf("no network is free for session %d", session)
+}
+
 // setUp gives each session its own loopback network and a configuration for it.
-func setUp(e *testscript.Env, programs string, network int) error {
+func setUp(e *testscript.Env, programs string, session int) error {
+	network, err := reserve(e, session)
+	if err != nil {
+		return err
+	}
 	host := func(zone, number int) string {
 		return fmt.Sprintf("127.45.%d.%d", network, zone*hostsPerZone+number)
 	}
