Parse the command lines of all four programs in one place

Cause: stepd, stepctl, stepfake and stepload each had the same forty lines of parsing, running and exiting. Change: internal/command/parser; each program gives its table, its description and how to run a verb.

--- a/internal/command/controller/controller.go
+++ b/internal/command/controller/controller.go
@@ -3,18 +3,16 @@
 package controller
 
 import (
-	"fmt"
 	"io"
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliastep/magnoliastep/internal/command/parser"
 )
 
 const (
 	programName = "stepctl"
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
 	// exitConflict says that another change came first.
 	exitConflict = 3
 	// exitUnknown says that the outcome of a change is not known yet.
@@ -39,6 +37,11 @@
 		config Config
 	}
 
+	// usageError is an error in the arguments that parsing alone does not find.
+	usageError struct {
+		error
+	}
+
 	// verbs is the table of operations.
 	verbs struct {
 		Node   []string `required:"" env:"STEPCTL_NODE" placeholder:"IP:PORT" help:"Operator side of nodes, tried in turn."`
@@ -70,39 +73,28 @@
 // Run parses the arguments, runs the verb and returns the exit code.
 func (c *Controller) Run() int {
 	table := &verbs{}
-	exited := -1
-	parser, err := kong.New(table, kong.Name(programName),
-		kong.Description("Operators' command line of the query tier."),
-		kong.Writers(c.config.Output, c.config.Errors), kong.Exit(func(code int) { exited = code }))
-	if err != nil {
-		return c.fail(err, exitFailure)
-	}
-	parsed, err := parser.Parse(c.config.Arguments)
-	if exited >= 0 {
-		return exited
-	}
-	if err != nil {
-		return c.fail(fmt.Errorf("%w; see %s --help", err, programName), exitUsage)
-	}
-	session, err := newSession(c.config, table)
-	if err != nil {
-		return c.fail(err, exitUsage)
-	}
-	if err := parsed.Run(session); err != nil {
-		return c.fail(err, exitCodeOf(err))
-	}
-	return exitOK
-}
-
-func (c *Controller) fail(err error, code int) int {
-	_, _ = fmt.Fprintf(c.config.Errors, "%s: %v\n", programName, err)
-	return code
+	return parser.New(parser.Config{
+		Program: programName, Description: "Operators' command line of the query tier.",
+		Verbs: table, Arguments: c.config.Arguments, Output: c.config.Output, Errors: c.config.Errors,
+		Run: func(parsed *kong.Context) error {
+			session, err := newSession(c.config, table)
+			if err != nil {
+				return &usageError{err}
+			}
+			return parsed.Run(session)
+		},
+		ExitCode: exitCodeOf,
+	}).Run()
 }
 
 func exitCodeOf(err error) int {
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return parser.ExitUsage
+	}
 	var failure *callError
 	if errors.As(err, &failure) {
 		return failure.exitCode()
 	}
-	return exitFailure
+	return parser.ExitFailure
 }
--- a/internal/command/controller/session.go
+++ b/internal/command/controller/session.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/magnoliastep/magnoliastep/internal/command/parser"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1/magnoliastepv1connect"
 )
@@ -177,6 +178,6 @@
 		pb.ResultCode_RESULT_CODE_NOT_NAMED_DIRECTOR:
 		return exitDenied
 	default:
-		return exitFailure
+		return parser.ExitFailure
 	}
 }
--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -3,18 +3,16 @@
 package daemon
 
 import (
-	"fmt"
 	"io"
 	"log/slog"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/magnoliastep/magnoliastep/internal/command/parser"
 )
 
 const (
 	programName = "stepd"
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
 )
 
 type (
@@ -51,29 +49,13 @@
 // Run parses the arguments, runs the verb and returns the exit code.
 func (d *Daemon) Run() int {
 	table := &verbs{}
-	exited := -1
-	parser, err := kong.New(table, kong.Name(programName),
-		kong.Description("The query tier's node: serves callers, operators and other nodes."),
-		kong.Writers(d.config.Output, d.config.Errors), kong.Exit(func(code int) { exited = code }))
-	if err != nil {
-		return d.fail(err, exitFailure)
-	}
-	parsed, err := parser.Parse(d.config.Arguments)
-	if exited >= 0 {
-		return exited
-	}
-	if err != nil {
-		return d.fail(fmt.Errorf("%w; see %s --help", err, programName), exitUsage)
-	}
-	if err := parsed.Run(&streams{output: d.config.Output, errors: d.config.Errors}); err != nil {
-		return d.fail(err, exitFailure)
-	}
-	return exitOK
-}
-
-func (d *Daemon) fail(err error, code int) int {
-	_, _ = fmt.Fprintf(d.config.Errors, "%s: %v\n", programName, err)
-	return code
+	return parser.New(parser.Config{
+		Program: programName, Description: "The query tier's node: serves callers, operators and other nodes.",
+		Verbs: table, Arguments: d.config.Arguments, Output: d.config.Output, Errors: d.config.Errors,
+		Run: func(parsed *kong.Context) error {
+			return parsed.Run(&streams{output: d.config.Output, errors: d.config.Errors})
+		},
+	}).Run()
 }
 
 func newLogger(w io.Writer, level string) *slog.Logger {
--- a/internal/command/faker/faker.go
+++ b/internal/command/faker/faker.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,13 +13,12 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliastep/magnoliastep/internal/command/parser"
 )
 
 const (
 	programName       = "stepfake"
-	exitOK            = 0
-	exitFailure       = 1
-	exitUsage         = 2
 	readHeaderTimeout = 5 * time.Second
 )
 
@@ -51,32 +49,17 @@
 
 // Run parses the arguments, runs the verb and returns the exit code.
 func (f *Faker) Run() int {
-	exited := -1
-	parser, err := kong.New(&verbs{}, kong.Name(programName),
-		kong.Description("Stand-ins for the platform and for leaves, for tests and trials."),
-		kong.Writers(f.config.Output, f.config.Errors), kong.Exit(func(code int) { exited = code }))
-	if err != nil {
-		return f.fail(err, exitFailure)
-	}
-	parsed, err := parser.Parse(f.config.Arguments)
-	if exited >= 0 {
-		return exited
-	}
-	if err != nil {
-		return f.fail(fmt.Errorf("%w; see %s --help", err, programName), exitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	parsed.BindTo(ctx, (*context.Context)(nil))
-	if err := parsed.Run(); err != nil {
-		return f.fail(err, exitFailure)
-	}
-	return exitOK
-}
-
-func (f *Faker) fail(err error, code int) int {
-	_, _ = fmt.Fprintf(f.config.Errors, "%s: %v\n", programName, err)
-	return code
+	table := &verbs{}
+	return parser.New(parser.Config{
+		Program: programName, Description: "Stand-ins for the platform and for leaves, for tests and trials.",
+		Verbs: table, Arguments: f.config.Arguments, Output: f.config.Output, Errors: f.config.Errors,
+		Run: func(parsed *kong.Context) error {
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			parsed.BindTo(ctx, (*context.Context)(nil))
+			return parsed.Run()
+		},
+	}).Run()
 }
 
 // serve serves each handler on its address until the context ends.
--- a/internal/command/loader/loader.go
+++ b/internal/command/loader/loader.go
@@ -5,20 +5,18 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliastep/magnoliastep/internal/command/parser"
 )
 
 const (
 	programName = "stepload"
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
 	// exitNotWhole says that the answer is not the whole answer that was demanded.
 	exitNotWhole = 3
 )
@@ -57,34 +55,23 @@
 
 // Run parses the arguments, runs the verb and returns the exit code.
 func (l *Loader) Run() int {
-	exited := -1
-	parser, err := kong.New(&verbs{}, kong.Name(programName),
-		kong.Description("Caller and open-loop load for the query tier."),
-		kong.Writers(l.config.Output, l.config.Errors), kong.Exit(func(code int) { exited = code }))
-	if err != nil {
-		return l.fail(err, exitFailure)
-	}
-	parsed, err := parser.Parse(l.config.Arguments)
-	if exited >= 0 {
-		return exited
-	}
-	if err != nil {
-		return l.fail(fmt.Errorf("%w; see %s --help", err, programName), exitUsage)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	parsed.BindTo(ctx, (*context.Context)(nil))
-	err = parsed.Run(&session{output: l.config.Output, progress: l.config.Errors})
-	switch {
-	case errors.Is(err, errNotWhole):
-		return l.fail(err, exitNotWhole)
-	case err != nil:
-		return l.fail(err, exitFailure)
-	}
-	return exitOK
+	table := &verbs{}
+	return parser.New(parser.Config{
+		Program: programName, Description: "Caller and open-loop load for the query tier.",
+		Verbs: table, Arguments: l.config.Arguments, Output: l.config.Output, Errors: l.config.Errors,
+		Run: func(parsed *kong.Context) error {
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			parsed.BindTo(ctx, (*context.Context)(nil))
+			return parsed.Run(&session{output: l.config.Output, progress: l.config.Errors})
+		},
+		ExitCode: exitCodeOf,
+	}).Run()
 }
 
-func (l *Loader) fail(err error, code int) int {
-	_, _ = fmt.Fprintf(l.config.Errors, "%s: %v\n", programName, err)
-	return code
+func exitCodeOf(err error) int {
+	if errors.Is(err, errNotWhole) {
+		return exitNotWhole
+	}
+	return parser.ExitFailure
 }
