Hold write buffers of peer links only while writing

Cause: at 1,000 nodes the links of a node took 747 MB of 64; most of it was four 64 KiB buffers and frame queues of 4,096 places in each link, nearly always empty. Ruled out: closing idle links alone (an entry talks to every owner of its region all the time). Change: write buffers come from a pool of the messenger, read buffers are 4 KiB, queues have 512 places.

--- a/internal/peer/messenger/link.go
+++ b/internal/peer/messenger/link.go
@@ -105,7 +105,7 @@
 			_ = l.session.Close()
 			return nil, errors.Wrap(err, "open stream")
 		}
-		l.writers[p] = newWriter(stream, &l.messenger.sentBytes)
+		l.writers[p] = newWriter(stream, l.messenger)
 		streams = append(streams, stream)
 	}
 	return streams, nil
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -7,6 +7,7 @@
 package messenger
 
 import (
+	"bufio"
 	"context"
 	"log/slog"
 	"net"
@@ -25,7 +26,7 @@
 	redialPause       = 100 * time.Millisecond
 	streamWindowBytes = 1 << 20  // 1 MiB
 	maxFrameBytes     = 16 << 20 // 16 MiB
-	writeQueueFrames  = 4096
+	writeQueueFrames  = 512
 	handlerLimit      = 4096
 
 	// keptLinks are kept open however idle they are; above them, links idle for idlePeriod are closed.
@@ -77,7 +78,9 @@
 		// unmatched counts replies that matched no open call.
 		unmatched atomic.Uint64
 		sentBytes atomic.Uint64
-		mutex     sync.Mutex
+		// buffers has the write buffers that no writer uses now.
+		buffers sync.Pool
+		mutex   sync.Mutex
 		// links has at most one link for each address.
 		links map[string]*link
 		// accepted has the sessions that peers opened.
@@ -98,6 +101,7 @@
 		config:   c,
 		links:    map[string]*link{},
 		accepted: map[*yamux.Session]struct{}{},
+		buffers:  sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }},
 	}
 }
 
@@ -300,7 +304,7 @@
 func (m *Messenger) serveStream(stream net.Conn) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	w := newWriter(stream, &m.sentBytes)
+	w := newWriter(stream, m)
 	defer w.close()
 	reply := func(f *pb.Frame) { _ = w.enqueueWait(m.stamp(f)) }
 	handlers := make(chan struct{}, handlerLimit)
--- a/internal/peer/messenger/writer.go
+++ b/internal/peer/messenger/writer.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -14,27 +13,29 @@
 )
 
 const (
-	streamBufferBytes = 64 << 10 // 64 KiB
+	writeBufferBytes = 64 << 10 // 64 KiB
+	readBufferBytes  = 4 << 10  // 4 KiB; larger frames are read past it
 )
 
 type (
 	// writer writes queued frames to one stream and flushes when the queue is empty, so that frames
-	// which are ready together leave in one packet.
+	// which are ready together leave in one packet. It holds a buffer only while it writes, because most
+	// links are idle most of the time.
 	writer struct {
 		stream    net.Conn
 		queue     chan *pb.Frame
 		done      chan struct{}
 		closeOnce sync.Once
-		sentBytes *atomic.Uint64
+		messenger *Messenger
 	}
 )
 
-func newWriter(stream net.Conn, sentBytes *atomic.Uint64) *writer {
+func newWriter(stream net.Conn, m *Messenger) *writer {
 	w := &writer{
 		stream:    stream,
 		queue:     make(chan *pb.Frame, writeQueueFrames),
 		done:      make(chan struct{}),
-		sentBytes: sentBytes,
+		messenger: m,
 	}
 	go w.run()
 	return w
@@ -62,13 +63,12 @@
 
 func (w *writer) run() {
 	defer w.close()
-	buffer := bufio.NewWriterSize(w.stream, streamBufferBytes)
 	for {
 		select {
 		case <-w.done:
 			return
 		case f := <-w.queue:
-			if w.writeReady(buffer, f) != nil {
+			if w.writeReady(f) != nil {
 				return
 			}
 		}
@@ -76,13 +76,19 @@
 }
 
 // writeReady writes the frame and all that are queued behind it, then flushes.
-func (w *writer) writeReady(buffer *bufio.Writer, f *pb.Frame) error {
+func (w *writer) writeReady(f *pb.Frame) error {
+	buffer, _ := w.messenger.buffers.Get().(*bufio.Writer)
+	buffer.Reset(w.stream)
+	defer func() {
+		buffer.Reset(nil)
+		w.messenger.buffers.Put(buffer)
+	}()
 	for {
 		n, err := protodelim.MarshalTo(buffer, f)
 		if err != nil {
 			return errors.Wrap(err, "write frame")
 		}
-		w.sentBytes.Add(uint64(n))
+		w.messenger.sentBytes.Add(uint64(n))
 		select {
 		case f = <-w.queue:
 		default:
@@ -100,7 +106,7 @@
 
 // readFrames passes each frame of the stream to receive until the stream ends or is malformed.
 func readFrames(stream io.Reader, receive func(*pb.Frame)) {
-	reader := bufio.NewReaderSize(stream, streamBufferBytes)
+	reader := bufio.NewReaderSize(stream, readBufferBytes)
 	options := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
 	for {
 		f := &pb.Frame{}
