--- a/internal/node/assembler/process_test.go
+++ b/internal/node/assembler/process_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,10 +22,13 @@
 )
 
 const (
-	network       = "127.43"
+	prefix        = "127.43"
+	lockPort      = "6999"
 	callers       = 6
 	startDeadline = 30 * time.Second
 	stopDeadline  = 60 * time.Second
+	firstOctet    = 20
+	octets        = 4 // third octets of the demo's addresses
 )
 
 type (
@@ -32,7 +36,10 @@
 	processes struct {
 		t         *testing.T
 		directory string
-		commands  map[string]*exec.Cmd
+		// base is the first of the four third octets that this run has for itself.
+		base     int
+		mutex    sync.Mutex
+		commands map[string]*exec.Cmd
 	}
 
 	// caller asks for entries, keeps the answer for as long as it says and sends one request after another.
@@ -55,6 +62,7 @@
 func newProcesses(t *testing.T) *processes {
 	is := is.New(t)
 	p := &processes{t: t, directory: t.TempDir(), commands: map[string]*exec.Cmd{}}
+	p.claim()
 	output, err := exec.Command("go", "build", "-o", p.directory, "../../../cmd/stepd", "../../../cmd/stepfake",
 		"../../../cmd/stepctl").CombinedOutput()
 	t.Log(string(output))
@@ -64,7 +72,9 @@
 	for _, f := range files {
 		text, err := os.ReadFile(f)
 		is.NoErr(err)
-		text = bytes.ReplaceAll(text, []byte("127.30."), []byte(network+"."))
+		for i := range octets {
+			text = bytes.ReplaceAll(text, fmt.Appendf(nil, "127.30.%d.", i), fmt.Appendf(nil, "%s.%d.", prefix, p.base+i))
+		}
 		is.NoErr(os.WriteFile(filepath.Join(p.directory, filepath.Base(f)), text, 0o600))
 	}
 	t.Cleanup(func() {
@@ -76,6 +86,28 @@
 	return p
 }
 
+// claim takes addresses that no other run of these tests on the machine has.
+func (p *processes) claim() {
+	for p.base = firstOctet; p.base+octets < 250; p.base += octets {
+		lock, err := net.Listen("tcp", fmt.Sprintf("%s.%d.250:%s", prefix, p.base, lockPort))
+		if err == nil {
+			p.t.Cleanup(func() { _ = lock.Close() })
+			return
+		}
+	}
+	p.t.Fatal("no free addresses")
+}
+
+// platform returns the address of the platform with the port.
+func (p *processes) platform(port string) string {
+	return fmt.Sprintf("%s.%d.1:%s", prefix, p.base, port)
+}
+
+// node returns the address of the numbered node with the port.
+func (p *processes) node(i int, port string) string {
+	return fmt.Sprintf("%s.%d.%d:%s", prefix, p.base, 100+i, port)
+}
+
 func (p *processes) path(name string) string { return filepath.Join(p.directory, name) }
 
 func (p *processes) start(name, program string, arguments ...string) {
@@ -95,13 +127,12 @@
 	is.New(p.t).NoErr(err)
 	settings := map[string]any{}
 	is.New(p.t).NoErr(json.Unmarshal(text, &settings))
-	address := fmt.Sprintf("%s.9.%d", network, i+1)
 	settings["node_name"] = name
 	fields := map[string]string{"7400": "caller_address", "7200": "operator_address", "7300": "peer_address"}
 	for port, field := range fields {
-		settings[field] = address + ":" + port
+		settings[field] = p.node(i, port)
 	}
-	settings["seed_peers"] = []string{network + ".9.1:7300", network + ".9.2:7300"}
+	settings["seed_peers"] = []string{p.node(0, "7300"), p.node(1, "7300")}
 	text, _ = json.Marshal(settings)
 	is.New(p.t).NoErr(os.WriteFile(p.path(name+".json"), text, 0o600))
 	p.start(name, "stepd", "run", "--settings", p.path(name+".json"))
@@ -110,7 +141,10 @@
 // stopNode ends a node gracefully and checks that it said so.
 func (p *processes) stopNode(name string) {
 	is := is.New(p.t)
+	p.mutex.Lock()
 	c := p.commands[name]
+	delete(p.commands, name)
+	p.mutex.Unlock()
 	is.NoErr(c.Process.Signal(syscall.SIGTERM))
 	ended := make(chan error, 1)
 	go func() { ended <- c.Wait() }()
@@ -120,7 +154,6 @@
 	case <-time.After(stopDeadline):
 		is.Fail() // the node does not stop
 	}
-	delete(p.commands, name)
 	log, err := os.ReadFile(p.path(name + ".log"))
 	is.NoErr(err)
 	is.True(strings.Contains(string(log), "stop complete"))
@@ -128,11 +161,11 @@
 }
 
 func (p *processes) startAll(nodes int) {
-	p.start("platform", "stepfake", "platform", "--address", network+".0.1:7000",
-		"--control-address", network+".0.1:7001")
+	p.start("platform", "stepfake", "platform", "--address", p.platform("7000"),
+		"--control-address", p.platform("7001"))
 	for i, zone := range []string{"a", "b", "c"} {
 		p.start("leaves-"+zone, "stepfake", "upstream", "--config", p.path("config.json"), "--zone", "zone-"+zone,
-			"--control-address", fmt.Sprintf("%s.0.1:701%d", network, i))
+			"--control-address", p.platform(fmt.Sprint(7010+i)))
 	}
 	for i := range nodes {
 		p.startNode(i)
@@ -147,7 +180,7 @@
 
 func (p *processes) control(token string, arguments ...string) bool {
 	c := exec.Command(p.path("stepctl"), arguments...)
-	c.Env = append(os.Environ(), "STEPCTL_NODE="+network+".9.1:7200", "STEPCTL_TOKEN="+token)
+	c.Env = append(os.Environ(), "STEPCTL_NODE="+p.node(0, "7200"), "STEPCTL_TOKEN="+token)
 	output, err := c.CombinedOutput()
 	if err != nil {
 		p.t.Logf("stepctl %v: %s", arguments, output)
@@ -162,13 +195,18 @@
 			return
 		}
 	}
+	logs, _ := filepath.Glob(p.path("node-*.log"))
+	for _, l := range logs {
+		text, _ := os.ReadFile(l)
+		p.t.Logf("%s:\n%s", filepath.Base(l), text)
+	}
 	p.t.Fatalf("%s did not happen within %v", what, startDeadline)
 }
 
-func newCaller(nodes int) *caller {
+func (p *processes) newCaller(nodes int) *caller {
 	c := &caller{client: &http.Client{Timeout: 5 * time.Second}}
 	for i := range nodes {
-		c.known = append(c.known, fmt.Sprintf("%s.9.%d:7400", network, i+1))
+		c.known = append(c.known, p.node(i, "7400"))
 	}
 	return c
 }
@@ -226,14 +264,14 @@
 }
 
 // callWhile sends requests from several callers while the work runs and returns the outcomes.
-func callWhile(nodes int, work func()) map[string]int {
+func (p *processes) callWhile(nodes int, work func()) map[string]int {
 	outcomes := map[string]int{}
 	var mutex sync.Mutex
 	var ended atomic.Bool
 	var running sync.WaitGroup
 	for range callers {
 		running.Go(func() {
-			for c := newCaller(nodes); !ended.Load(); time.Sleep(5 * time.Millisecond) {
+			for c := p.newCaller(nodes); !ended.Load(); time.Sleep(5 * time.Millisecond) {
 				outcome := c.search()
 				mutex.Lock()
 				outcomes[outcome]++
@@ -256,9 +294,9 @@
 	is := is.New(t)
 	p := newProcesses(t)
 	p.startAll(nodes)
-	p.waitFor("whole answer", func() bool { return newCaller(nodes).search() == "RESULT_CODE_OK" })
+	p.waitFor("whole answer", func() bool { return p.newCaller(nodes).search() == "RESULT_CODE_OK" })
 	time.Sleep(5 * time.Second) // the view settles and leaves warm up
-	outcomes := callWhile(nodes, func() {
+	outcomes := p.callWhile(nodes, func() {
 		p.stopNode("node-0")
 		var stops sync.WaitGroup
 		for _, name := range []string{"node-1", "node-2", "node-3"} {
@@ -274,15 +312,15 @@
 
 func (p *processes) setOutage(outage bool) {
 	body := strings.NewReader(fmt.Sprintf(`{"outage":%t}`, outage))
-	response, err := http.Post("http://"+network+".0.1:7001/behaviour", "application/json", body)
+	response, err := http.Post("http://"+p.platform("7001")+"/behaviour", "application/json", body)
 	is.New(p.t).NoErr(err)
 	_ = response.Body.Close()
 }
 
 // whole tells whether the numbered node itself answers a search in full.
-func whole(i int) bool {
+func (p *processes) whole(i int) bool {
 	c := &caller{
-		entries: []string{fmt.Sprintf("%s.9.%d:7400", network, i+1)}, keepTo: time.Now().Add(time.Hour),
+		entries: []string{p.node(i, "7400")}, keepTo: time.Now().Add(time.Hour),
 		client: &http.Client{Timeout: time.Second},
 	}
 	return c.search() == "RESULT_CODE_OK"
@@ -298,13 +336,13 @@
 	p := newProcesses(t)
 	p.startAll(nodes)
 	for i := range nodes {
-		p.waitFor("whole answer", func() bool { return whole(i) })
+		p.waitFor("whole answer", func() bool { return p.whole(i) })
 	}
 	p.setOutage(true)
 	is.NoErr(p.commands["node-2"].Process.Kill())
 	_ = p.commands["node-2"].Wait()
 	p.startNode(2)
-	p.waitFor("replaced node serves during the outage", func() bool { return whole(2) })
+	p.waitFor("replaced node serves during the outage", func() bool { return p.whole(2) })
 	for i := range nodes {
 		name := fmt.Sprintf("node-%d", i)
 		is.NoErr(p.commands[name].Process.Kill())
@@ -323,6 +361,6 @@
 	})
 	p.setOutage(false)
 	for i := range nodes {
-		p.waitFor("whole answer after the outage", func() bool { return whole(i) })
+		p.waitFor("whole answer after the outage", func() bool { return p.whole(i) })
 	}
 }
--- a/internal/node/assembler/stop.go
+++ b/internal/node/assembler/stop.go
@@ -8,7 +8,7 @@
 
 const (
 	// spreadPeriods of probing let every other node hear that this one leaves.
-	spreadPeriods = 6
+	spreadPeriods = 10
 	quietPoll     = 50 * time.Millisecond
 	// quietPeriod without work from peers ends the wait for it.
 	quietPeriod = 500 * time.Millisecond
@@ -36,6 +36,7 @@
 	defer cancel()
 	n.stopping.Store(true)
 	n.prober.Leave()
+	n.prober.Announce(ctx)
 	n.wait(ctx, kept)
 	n.finish(ctx, "callers", callers.Shutdown)
 	if h, ok := any(n.dispatcher).(handover); ok {
--- a/internal/view/prober/prober.go
+++ b/internal/view/prober/prober.go
@@ -23,6 +23,9 @@
 const (
 	// relayCount is how many nodes are asked to probe a member that does not answer.
 	relayCount = 3
+	// announceCount members hear at once that this node leaves, in up to announceRounds attempts.
+	announceCount  = 32
+	announceRounds = 3
 	// maxRounds bounds the probes in flight.
 	maxRounds = 32
 	// pauseFactor times the probe period is a gap between ticks that only a paused process has.
@@ -151,6 +154,37 @@
 	p.logLocked()
 }
 
+// Announce tells up to announceCount members at once what this node says of itself, and again those that
+// did not answer; rumours take it to the others.
+func (p *Prober) Announce(ctx context.Context) {
+	p.mutex.Lock()
+	addresses := p.detector.Relays("", announceCount)
+	p.mutex.Unlock()
+	for range announceRounds {
+		addresses = p.announceTo(ctx, addresses)
+	}
+}
+
+// announceTo returns the addresses that did not answer.
+func (p *Prober) announceTo(ctx context.Context, addresses []string) []string {
+	silent := make(chan string, len(addresses))
+	var probes sync.WaitGroup
+	for _, a := range addresses {
+		probes.Go(func() {
+			if _, err := p.probe(ctx, a); err != nil {
+				silent <- a
+			}
+		})
+	}
+	probes.Wait()
+	close(silent)
+	var missing []string
+	for a := range silent {
+		missing = append(missing, a)
+	}
+	return missing
+}
+
 // HandleProbe takes what the sender says and answers with rumours, or with everything for a new node.
 func (p *Prober) HandleProbe(m *pb.Probe) *pb.ProbeReply {
 	p.mutex.Lock()
