--- a/internal/node/assembler/bookingside.go
+++ b/internal/node/assembler/bookingside.go
@@ -12,7 +12,9 @@
 	"github.com/magnoliastep/magnoliastep/internal/booking/recorder"
 	"github.com/magnoliastep/magnoliastep/internal/booking/registrar"
 	"github.com/magnoliastep/magnoliastep/internal/booking/submitter"
+	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/platform/client"
 )
 
@@ -21,12 +23,15 @@
 	clockAllowance     = time.Second
 	witnessGroupSettle = 2 * time.Minute
 	claimTimeout       = 250 * time.Millisecond
+	rosterPullPeriod   = 500 * time.Millisecond
 )
 
 type (
-	// listTee passes each list of VMs on to observe.
+	// listTee passes each list of VMs on to observe, without the VMs of leaves. It passes nothing on before
+	// the configuration tells which VMs these are.
 	listTee struct {
 		store   Store
+		source  *keeper.Keeper
 		port    string
 		observe func(vms []*pb.Member)
 	}
@@ -38,8 +43,15 @@
 	if err != nil {
 		return nil, err
 	}
+	index := l.source.Index()
+	if index.LeafCount() == 0 {
+		return vms, nil
+	}
 	members := make([]*pb.Member, 0, len(vms))
 	for _, v := range vms {
+		if index.IsLeafIP(v.IP) {
+			continue
+		}
 		members = append(members, &pb.Member{
 			Name: v.Name, AvailabilityZone: v.AvailabilityZone, PeerAddress: net.JoinHostPort(v.IP, l.port),
 		})
@@ -52,7 +64,7 @@
 func (n *Node) newListTee() listTee {
 	_, port, _ := net.SplitHostPort(n.config.Settings.GetPeerAddress())
 	return listTee{
-		store: n.config.Store, port: port, observe: func(vms []*pb.Member) { n.grouper.ObserveList(vms) },
+		store: n.config.Store, source: n.keeper, port: port, observe: func(vms []*pb.Member) { n.grouper.ObserveList(vms) },
 	}
 }
 
@@ -74,3 +86,32 @@
 		NewToken: func() string { return n.config.Settings.GetNodeName() + "/" + uuid.NewString() },
 	})
 }
+
+// learnRoster asks the other nodes for their roster until this node knows the fleet.
+func (n *Node) learnRoster(ctx context.Context) {
+	ticker := n.config.Clock.NewTicker(rosterPullPeriod)
+	defer ticker.Stop()
+	for !n.grouper.Ready() {
+		for _, m := range n.prober.Members() {
+			if m.GetName() != n.config.Settings.GetNodeName() {
+				n.pullRoster(ctx, m)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) pullRoster(ctx context.Context, m *pb.Member) {
+	ctx, cancel := context.WithTimeout(ctx, rosterPullPeriod)
+	defer cancel()
+	frame := &pb.Frame{Body: &pb.Frame_WitnessRosterPull{WitnessRosterPull: &pb.WitnessRosterPull{}}}
+	reply, err := n.messenger.Call(ctx, m.GetPeerAddress(), messenger.PlaneControl, frame)
+	if err != nil {
+		return
+	}
+	n.grouper.Adopt(reply.GetWitnessRoster())
+}
