Look only at concerned leaves when tenures are renewed

Cause: each look at the tenures (every 150 ms) went over every configured leaf. Change: the placer keeps the leaves of each owner, and Tick takes those and its own claims.

--- a/internal/leaf/dispatcher/dispatcher.go
+++ b/internal/leaf/dispatcher/dispatcher.go
@@ -34,13 +34,15 @@
 	// Ranks tells in which order nodes would own a leaf.
 	Ranks interface {
 		Ranked(leaf string) []*pb.Member
+		// OwnedBy returns the leaves that the node is first for.
+		OwnedBy(node string) []string
 	}
 
 	// Tenure decides whether this node may dispatch to a leaf.
 	Tenure interface {
 		Until(leaf string) (time.Time, bool)
 		Holder(leaf string) string
-		Tick(leaves []string) ([]tenant.Request, []tenant.Move)
+		Tick(first []string, configured func(leaf string) bool) ([]tenant.Request, []tenant.Move)
 		HandleRequest(from string, r *pb.TenureRequest) (*pb.TenureReply, []string)
 		HandleReply(q tenant.Request, r *pb.TenureReply)
 		HandleHandover(from, leaf string)
--- a/internal/leaf/dispatcher/dispatcher_test.go
+++ b/internal/leaf/dispatcher/dispatcher_test.go
@@ -97,11 +97,13 @@
 
 func (b *bed) Ranked(string) []*pb.Member { return b.ranked }
 
+func (b *bed) OwnedBy(string) []string { return nil }
+
 func (t fakeTenure) Until(string) (time.Time, bool) {
 	return time.Now().Add(time.Second), t.bed.held.Load()
 }
 func (t fakeTenure) Holder(string) string { return t.bed.holder.Load().(string) }
-func (t fakeTenure) Tick([]string) ([]tenant.Request, []tenant.Move) {
+func (t fakeTenure) Tick([]string, func(string) bool) ([]tenant.Request, []tenant.Move) {
 	return nil, nil
 }
 
--- a/internal/leaf/dispatcher/ownership.go
+++ b/internal/leaf/dispatcher/ownership.go
@@ -6,7 +6,6 @@
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/limiter"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
@@ -97,7 +96,11 @@
 
 func (d *Dispatcher) tick(ctx context.Context) {
 	index := d.config.Source.Index()
-	requests, moves := d.config.Tenure.Tick(leafNames(index))
+	configured := func(leaf string) bool {
+		_, ok := index.Leaf(leaf)
+		return ok
+	}
+	requests, moves := d.config.Tenure.Tick(d.config.Ranks.OwnedBy(d.config.NodeName), configured)
 	for _, m := range moves {
 		d.move(ctx, m)
 	}
@@ -117,16 +120,6 @@
 	}
 }
 
-func leafNames(index *indexer.Index) []string {
-	names := make([]string, 0, index.LeafCount())
-	for _, s := range index.Services() {
-		for _, l := range s.GetLeaves() {
-			names = append(names, l.GetName())
-		}
-	}
-	return names
-}
-
 // ask sends one request for promises.
 func (d *Dispatcher) ask(ctx context.Context, q tenant.Request) {
 	ctx, cancel := context.WithTimeout(ctx, askPeriods*d.config.TenurePeriod)
--- a/internal/view/placer/placer.go
+++ b/internal/view/placer/placer.go
@@ -43,6 +43,8 @@
 		mutex  sync.Mutex
 		// ranked is valid for generation and index only.
 		ranked map[string][]*pb.Member
+		// owned has the leaves of each owner by its name; nil until it is asked for.
+		owned map[string][]string
 		// ranker ranks the members whose availability zone is in service, or all when none is.
 		ranker     *ranker.Ranker
 		generation uint64
@@ -70,6 +72,30 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.refresh()
+	return p.rankedLocked(leaf)
+}
+
+// OwnedBy returns the leaves that the node owns. The slice is shared and must not be changed.
+func (p *Placer) OwnedBy(node string) []string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.refresh()
+	if p.owned != nil {
+		return p.owned[node]
+	}
+	p.owned = map[string][]string{}
+	for _, s := range p.index.Services() {
+		for _, l := range s.GetLeaves() {
+			if ranked := p.rankedLocked(l.GetName()); len(ranked) > 0 {
+				owner := ranked[0].GetName()
+				p.owned[owner] = append(p.owned[owner], l.GetName())
+			}
+		}
+	}
+	return p.owned[node]
+}
+
+func (p *Placer) rankedLocked(leaf string) []*pb.Member {
 	if ranked, ok := p.ranked[leaf]; ok {
 		return ranked
 	}
@@ -96,6 +122,7 @@
 	p.generation = generation
 	p.index = index
 	p.ranked = map[string][]*pb.Member{}
+	p.owned = nil
 	p.ranker = ranker.New(eligible(index, p.view.Members()))
 }
 
--- a/internal/view/tenant/tenant.go
+++ b/internal/view/tenant/tenant.go
@@ -9,6 +9,8 @@
 package tenant
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -137,10 +139,11 @@
 	return ""
 }
 
-// Tick brings the claims up to date with the view. It returns the requests that are due, each of which
+// Tick brings the claims up to date with the view. first has the leaves that this node is first for; all
+// other leaves without a claim cost nothing. It returns the requests that are due, each of which
 // must be followed by one HandleReply, and the leaves that have moved to another node; the caller hands
 // their states over.
-func (t *Tenant) Tick(leaves []string) ([]Request, []Move) {
+func (t *Tenant) Tick(first []string, configured func(leaf string) bool) ([]Request, []Move) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := t.config.Clock.Now()
@@ -150,25 +153,35 @@
 	t.ticked = now
 	var due batches
 	var moves []Move
-	wanted := make(map[string]bool, len(leaves))
-	for _, leaf := range leaves {
-		wanted[leaf] = true
+	for _, leaf := range t.concernedLocked(first, configured) {
 		if move, ok := t.moveLocked(leaf, now); ok {
 			moves = append(moves, move)
 			continue
 		}
 		t.tickLeafLocked(leaf, now, &due)
 	}
-	for leaf := range t.claims {
-		if !wanted[leaf] {
-			delete(t.claims, leaf)
-		}
-	}
 	requests := append(due.requests(now, t), t.releases...)
 	t.releases = nil
 	return requests, moves
 }
 
+// concernedLocked returns the leaves that this node is first for or has a claim to, and drops the claims to
+// leaves that are not configured any more.
+func (t *Tenant) concernedLocked(first []string, configured func(leaf string) bool) []string {
+	concerned := make(map[string]bool, len(first)+len(t.claims))
+	for _, leaf := range first {
+		concerned[leaf] = true
+	}
+	for leaf := range t.claims {
+		if configured(leaf) {
+			concerned[leaf] = true
+			continue
+		}
+		delete(t.claims, leaf)
+	}
+	return slices.Sorted(maps.Keys(concerned))
+}
+
 // HandleRequest answers another node. It also returns the leaves that this node held and has given up to
 // the sender; the caller puts their states into the reply before it is sent.
 func (t *Tenant) HandleRequest(from string, r *pb.TenureRequest) (*pb.TenureReply, []string) {
--- a/internal/view/tenant/tenant_test.go
+++ b/internal/view/tenant/tenant_test.go
@@ -217,7 +217,11 @@
 }
 
 func (n *node) tick() {
-	requests, moves := n.tenant.Tick([]string{leafName})
+	var first []string
+	if ranked := n.Ranked(leafName); len(ranked) > 0 && ranked[0] == n.member {
+		first = []string{leafName}
+	}
+	requests, moves := n.tenant.Tick(first, func(string) bool { return true })
 	for _, m := range moves {
 		handover := &pb.TenureReply{States: []*pb.LeafState{n.state()}}
 		n.fleet.send(n.index, n.fleet.indexOf(m.To), n.fleet.random.IntN(3), func(o *node) {
