Pace the requests for promises

Cause: a node that refuses a promise wakes its own look at the tenures, as does the refused one; two nodes that start together asked each other at the speed of the link: 11,037 requests and 10,346 looks of 3 nodes with 71 leaves before BenchmarkPath's warm-up was over (counted with a scratch counter), 90 and 270 in the 8 s after it. Ruled out: the period of 150 ms (it gives 7 looks a second). Change: two requests for the same leaf are a tenth of the tenure apart.

--- a/internal/view/tenant/tenant.go
+++ b/internal/view/tenant/tenant.go
@@ -25,6 +25,7 @@
 	strangerShare = 1.5 // of the tenure until a right that this node never heard of is over
 	renewalShare  = 2.0 / 3
 	pauseShare    = 0.5 // of the tenure without a tick is a pause
+	askShare      = 0.1 // of the tenure between two requests for the same leaf
 )
 
 type (
@@ -91,6 +92,8 @@
 		clearedAt time.Time
 		// asked is set while a request is under way.
 		asked bool
+		// askedAt is when the last request was made; the next one follows after a pause.
+		askedAt time.Time
 		// unanswered counts requests in a row that got no answer.
 		unanswered int
 		// holder is the node that holds the leaf as the last refusal named it.
@@ -343,7 +346,11 @@
 	if c.asked || c.until.Sub(now) > time.Duration(renewalShare*float64(t.config.Tenure)) {
 		return
 	}
+	if now.Sub(c.askedAt) < time.Duration(askShare*float64(t.config.Tenure)) {
+		return // a refusal wakes both sides, which would ask each other without end
+	}
 	c.asked = true
+	c.askedAt = now
 	due.add(ranked[1+c.unanswered%(len(ranked)-1)], leaf, c, now)
 }
 
