--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -20,7 +20,6 @@
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/view/placer"
-	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
 )
 
 const (
@@ -61,9 +60,10 @@
 		return float64(proto.Size(statuses(n)))
 	})
 	nodes := []int{100, 300, 1000}
-	fit(t, "rank one leaf, us by nodes", nodes, func(n int) float64 {
-		m := members(n)
-		return timeOf(func(i int) { ranker.Rank(ranker.Key{Name: fmt.Sprint(i), AvailabilityZone: "zone-1"}, m) })
+	fit(t, "place 6,532 leaves after a change of the view, us by nodes", nodes, func(n int) float64 {
+		k := configuration(6532)
+		v := fixedView{members(n)}
+		return timeOf(func(int) { placer.New(placer.Config{View: v, Source: k}).OwnedBy("node-1") })
 	})
 	fit(t, "placement of 710 leaves, bytes by nodes", nodes, func(n int) float64 {
 		k := configuration(710)
