Make the checks of four promises fail once

Mutations in a scratch copy: draining mark not kept, VM list not asked, every submit called not run, leaf never cold, ramp without successes, older version taken.

--- a/internal/leaf/dispatcher/dispatcher_test.go
+++ b/internal/leaf/dispatcher/dispatcher_test.go
@@ -41,6 +41,7 @@
 		sent       []string
 		drains     atomic.Bool
 		lies       atomic.Bool
+		leavingVM  atomic.Bool
 		passed     []*pb.LeafBatch
 		handovers  []*pb.LeafState
 		relinquish []string
@@ -60,7 +61,7 @@
 	b.holder.Store("")
 	b.configure(b.leaf())
 	b.Dispatcher = dispatcher.New(dispatcher.Config{
-		NodeName: "node-a", Source: b, Ranks: b, Tenure: fakeTenure{b}, Peers: b, Forwarder: b,
+		NodeName: "node-a", Source: b, Ranks: b, Tenure: fakeTenure{b}, Peers: b, Forwarder: b, VMs: b,
 		Clock: quartz.NewReal(), Logger: slog.New(slog.DiscardHandler),
 		NewSender:    func(l *pb.Leaf) dispatcher.LeafSender { return &fakeSender{b, l.GetAddress()} },
 		StatusPeriod: 500 * time.Millisecond, TenurePeriod: period,
@@ -99,6 +100,8 @@
 
 func (b *bed) OwnedBy(string) []string { return nil }
 
+func (b *bed) LeavingVM(ip string) bool { return ip == "10.0.0.1" && b.leavingVM.Load() }
+
 func (t fakeTenure) Until(string) (time.Time, bool) {
 	return time.Now().Add(time.Second), t.bed.held.Load()
 }
@@ -236,6 +239,18 @@
 	})
 }
 
+func TestALeafOnALeavingVMGetsNoNewWork(t *testing.T) {
+	run(t, func(is *is.I, b *bed) {
+		is.Equal(b.ask(batch("r1", time.Second)).GetCode(), pb.ResultCode_RESULT_CODE_OK)
+		b.leavingVM.Store(true)
+		for range 20 {
+			time.Sleep(time.Second)
+			is.Equal(b.ask(batch("r2", time.Second)).GetCode(), pb.ResultCode_RESULT_CODE_LEAF_DRAINING)
+		}
+		is.Equal(b.count(), 1)
+	})
+}
+
 func TestHopelessWorkIsAnsweredPromptlyAndNeverSent(t *testing.T) {
 	run(t, func(is *is.I, b *bed) {
 		is.Equal(b.ask(batch("r1", time.Second)).GetCode(), pb.ResultCode_RESULT_CODE_OK)
@@ -251,6 +266,16 @@
 	})
 }
 
+func TestASubmitThatWasSentIsNeverNotRun(t *testing.T) {
+	run(t, func(is *is.I, b *bed) {
+		r := b.Dispatcher.Submit(context.Background(), &pb.SubmitCall{
+			Leaf: "leaf-0", RequestId: "r1", TimeLeft: durationpb.New(serviceTime / 2),
+		})
+		is.Equal(r.GetCode(), pb.ResultCode_RESULT_CODE_OUTCOME_UNKNOWN)
+		is.Equal(b.count(), 1)
+	})
+}
+
 func TestWorkWaitsForTheTenure(t *testing.T) {
 	run(t, func(is *is.I, b *bed) {
 		b.held.Store(false)
