--- a/test/demo.sh
+++ b/test/demo.sh
@@ -1,43 +1,8 @@
 #!/usr/bin/env bash
 # Runs the whole path in separate processes: platform, leaves of three availability zones, three nodes.
 # Exits 0 when every step answered as expected; prints what failed otherwise.
-set -euo pipefail
-cd "$(dirname "$0")/.."
-binaries=${BINARIES:-bin}
-logs=$(mktemp -d)
-processes=()
-
-fail() {
-  echo "demo: $*" >&2
-  tail -n 5 "$logs"/*.log >&2
-  exit 1
-}
-
-# stop_all ends what still runs; the shell is not to report the processes that it ends.
-stop_all() {
-  for p in "${processes[@]}"; do kill -TERM "$p" 2>/dev/null || true; done
-  wait 2>/dev/null
-  rm -rf "$logs"
-}
-trap stop_all EXIT
-
-start() {
-  local name=$1
-  shift
-  "$@" >"$logs/$name.log" 2>&1 &
-  processes+=($!)
-}
-
-# wait_for runs the command until it succeeds, for at most 10 seconds.
-wait_for() {
-  local description=$1
-  shift
-  for _ in $(seq 100); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.1
-  done
-  fail "$description did not happen within 10 s"
-}
+program=demo
+source "$(dirname "$0")/lib.sh"
 
 platform=127.30.0.1:7000
 platform_control=127.30.0.1:7001
@@ -88,5 +53,5 @@
 echo "# stop"
 for p in "${nodes[@]}"; do kill -TERM "$p"; done
 for p in "${nodes[@]}"; do wait "$p" || fail "a node did not stop gracefully"; done
-grep -h "stop complete" "$logs"/node-*.log | sed 's/.*msg=/msg=/' || fail "no stop line"
+grep -h "stop complete" "$work"/node-*.log | sed 's/.*msg=/msg=/' || fail "no stop line"
 echo "demo: all steps passed"
--- a/test/overload.sh
+++ b/test/overload.sh
@@ -3,43 +3,10 @@
 # sends the same load again. Prints the nodes' memory each ten seconds, what callers were told and how
 # often the director was paged. Fails when a caller was refused before the director agreed, when nobody was
 # paged, when nothing was refused after, or when an invariant was violated.
-set -euo pipefail
-cd "$(dirname "$0")/.."
-binaries=${BINARIES:-bin}
+program=overload
+source "$(dirname "$0")/lib.sh"
 seconds=${SECONDS_OF_LOAD:-60}
 rate=${RATE:-720} # capacity: 3 replicas * 6 slots / 0.1 s = 180 searches a second
-work=$(mktemp -d)
-processes=()
-
-stop_all() {
-  for p in "${processes[@]}"; do kill -TERM "$p" 2>/dev/null || true; done
-  wait 2>/dev/null
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-fail() {
-  echo "overload: $*" >&2
-  tail -n 5 "$work"/*.log >&2
-  exit 1
-}
-
-start() {
-  local name=$1
-  shift
-  "$@" >"$work/$name.log" 2>&1 &
-  processes+=($!)
-}
-
-wait_for() {
-  local description=$1
-  shift
-  for _ in $(seq 100); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.1
-  done
-  fail "$description did not happen within 10 s"
-}
 
 for f in config.json vms.json node-a1.json node-b1.json node-c1.json; do
   sed 's/127\.30\./127.44./g' "examples/demo/$f" >"$work/$f"
--- a/test/speed.sh
+++ b/test/speed.sh
@@ -2,45 +2,12 @@
 # Measures what the tier costs at one node's share of the size ahead: 190 searches a second over 71
 # partitions (13,490 leaf calls a second), in separate processes. Prints the latency of the direct fan-out
 # and through the tier, and the processor time of the nodes a second and a leaf call.
-set -euo pipefail
-cd "$(dirname "$0")/.."
-binaries=${BINARIES:-bin}
+program=speed
+source "$(dirname "$0")/lib.sh"
 seconds=${SECONDS_OF_LOAD:-15}
 rate=${RATE:-190}
 partitions=71
 net=127.47
-work=$(mktemp -d)
-processes=()
-
-stop_all() {
-  for p in "${processes[@]}"; do kill -TERM "$p" 2>/dev/null || true; done
-  wait 2>/dev/null
-  rm -rf "$work"
-}
-trap stop_all EXIT
-
-fail() {
-  echo "speed: $*" >&2
-  tail -n 5 "$work"/*.log >&2
-  exit 1
-}
-
-start() {
-  local name=$1
-  shift
-  "$@" >"$work/$name.log" 2>&1 &
-  processes+=($!)
-}
-
-wait_for() {
-  local description=$1
-  shift
-  for _ in $(seq 300); do
-    if "$@" >/dev/null 2>&1; then return 0; fi
-    sleep 0.1
-  done
-  fail "$description did not happen within 30 s"
-}
 
 # leaf prints the configuration of one leaf: its partition number is the argument.
 leaf() {
