Keep a VM list that came before the configuration for the witnesses

Since the VMs of leaves are left out, a list that was read before the configuration arrived was dropped, and a node became a witness only with the next one, up to list_period (5 s) later. Ruled out: lost claims (the reply names too few witnesses; all nodes were up). Change: such a list is kept and passed on once, when the configuration comes. The demo repeats its submit under one id. After: TestVMsOfLeavesAreNoWitnesses asks for the kept list.

--- a/internal/node/assembler/bookingside.go
+++ b/internal/node/assembler/bookingside.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,25 +28,44 @@
 )
 
 type (
-	// listTee passes each list of VMs on to observe, without the VMs of leaves. It passes nothing on before
-	// the configuration tells which VMs these are.
+	// listTee passes each list of VMs on to observe, without the VMs of leaves. A list that comes before the
+	// configuration, which tells what VMs these are, is kept until then.
 	listTee struct {
 		store   Store
 		source  *keeper.Keeper
 		port    string
 		observe func(vms []*pb.Member)
+		mutex   sync.Mutex
+		// pending is a list that came before the configuration; nil otherwise.
+		pending []client.VM
 	}
 )
 
-// VMs implements prober.VMLister.
-func (l listTee) VMs(ctx context.Context) ([]client.VM, error) {
+// VMs implements lister.VMLister.
+func (l *listTee) VMs(ctx context.Context) ([]client.VM, error) {
 	vms, err := l.store.VMs(ctx)
 	if err != nil {
 		return nil, err
 	}
+	l.mutex.Lock()
+	l.pending = vms
+	l.mutex.Unlock()
+	l.pass()
+	return vms, nil
+}
+
+// pass passes the pending list on, once, if there is a configuration.
+func (l *listTee) pass() {
 	index := l.source.Index()
 	if index.LeafCount() == 0 {
-		return vms, nil
+		return
+	}
+	l.mutex.Lock()
+	vms := l.pending
+	l.pending = nil
+	l.mutex.Unlock()
+	if vms == nil {
+		return
 	}
 	members := make([]*pb.Member, 0, len(vms))
 	for _, v := range vms {
@@ -57,15 +77,16 @@
 		})
 	}
 	l.observe(members)
-	return vms, nil
 }
 
 // newListTee returns the platform's list of VMs, from which the witnesses learn too.
-func (n *Node) newListTee() listTee {
+func (n *Node) newListTee() *listTee {
 	_, port, _ := net.SplitHostPort(n.config.Settings.GetPeerAddress())
-	return listTee{
+	l := &listTee{
 		store: n.config.Store, source: n.keeper, port: port, observe: func(vms []*pb.Member) { n.grouper.ObserveList(vms) },
 	}
+	n.keeper.Observe(func([]*pb.ConfigObject) { l.pass() })
+	return l
 }
 
 // assembleWitness builds the memory of non-idempotent requests.
--- a/internal/node/assembler/bookingside_test.go
+++ b/internal/node/assembler/bookingside_test.go
@@ -24,7 +24,7 @@
 	is := is.New(t)
 	var observed [][]*pb.Member
 	k := keeper.New(keeper.Config{})
-	l := listTee{
+	l := &listTee{
 		store: vmStore{}, source: k, port: "7300",
 		observe: func(vms []*pb.Member) { observed = append(observed, vms) },
 	}
@@ -34,10 +34,12 @@
 	k.Apply([]*pb.ConfigObject{{Version: 1, Spec: &pb.ConfigObject_Service{Service: &pb.Service{
 		Name: "service", Leaves: []*pb.Leaf{{Name: "leaf", Address: "10.0.0.2:8000"}},
 	}}}}, 0)
+	l.pass()
+	is.Equal(len(observed), 1) // the list that came before the configuration
 	vms, err := l.VMs(t.Context())
 	is.NoErr(err)
 	is.Equal(len(vms), 2) // the list itself is passed on whole
-	is.Equal(len(observed), 1)
-	is.Equal(len(observed[0]), 1)
-	is.Equal(observed[0][0].GetPeerAddress(), "10.0.0.1:7300")
+	is.Equal(len(observed), 2)
+	is.Equal(len(observed[1]), 1)
+	is.Equal(observed[1][0].GetPeerAddress(), "10.0.0.1:7300")
 }
--- a/test/demo.sh
+++ b/test/demo.sh
@@ -47,8 +47,14 @@
 echo "# stepload search (quote-desk)"
 search "${catalogue[@]}" || fail "search of quote-desk"
 echo "# stepload submit (towpath-desk)"
-"$binaries/stepload" submit --entry "$entry" --credential skippers-token --service towpath-desk \
-  --class book-stall --partition 1 "stall 7" || fail "booking"
+id=$("$binaries/stepctl" request-id)
+submit() { # repeats carry the same id, so the request runs at most once
+  "$binaries/stepload" submit --entry "$entry" --credential skippers-token --service towpath-desk \
+    --class book-stall --partition 1 --request-id "$id" "stall 7" | tee "$work/submit.json"
+  grep -q RESULT_CODE_OK "$work/submit.json"
+}
+wait_for "run of the submit" submit
+cat "$work/submit.json"
 
 echo "# stop"
 for p in "${nodes[@]}"; do kill -TERM "$p"; done
