Admit searches and submits in one place

Cause: search and submit each read, checked, admitted and counted in their request with the same twenty lines. Change: Server.admit does it for both, in the same order; what follows a wait that was too long stays apart, as it differs. The tests of the package pass unchanged.

--- a/internal/entry/server/search.go
+++ b/internal/entry/server/search.go
@@ -26,34 +26,21 @@
 
 func (s *Server) answerSearch(c iris.Context, e *entered) (*pb.SearchAnswer, error) {
 	request := &pb.SearchRequest{}
-	caller, err := s.read(c, request)
+	a, err := s.admit(c, e, request, pb.RequestKind_REQUEST_KIND_IDEMPOTENT)
 	if err != nil {
 		return nil, err
 	}
-	class, err := s.config.Source.Index().CheckClass(
-		caller, request.GetService(), request.GetClass(), pb.RequestKind_REQUEST_KIND_IDEMPOTENT)
-	if err != nil {
-		return nil, err
-	}
-	timeLeft, err := s.timeLeft(e, class, request.GetTimeLeft())
-	if err != nil {
-		return nil, err
-	}
-	if err := s.config.Admitter.Admit(class); err != nil {
-		return nil, err
-	}
-	end, cancel := s.config.Tallier.Begin(class)
-	if timeLeft <= 0 {
-		end(0)
+	if a.timeLeft <= 0 {
+		a.end(0)
 		return s.tooLate(request), nil
 	}
-	request.TimeLeft = durationOf(timeLeft)
-	answer, err := s.config.Searcher.Search(c.Request().Context(), caller, request)
+	request.TimeLeft = durationOf(a.timeLeft)
+	answer, err := s.config.Searcher.Search(c.Request().Context(), a.caller, request)
 	if err != nil {
-		cancel()
+		a.cancel()
 		return nil, s.notRefused(err)
 	}
-	end(tallier.CoverageOf(answer.GetCoverage()))
+	a.end(tallier.CoverageOf(answer.GetCoverage()))
 	return answer, nil
 }
 
--- a/internal/entry/server/submit.go
+++ b/internal/entry/server/submit.go
@@ -27,34 +27,21 @@
 
 func (s *Server) answerSubmit(c iris.Context, e *entered) (*pb.SubmitAnswer, error) {
 	request := &pb.SubmitRequest{}
-	caller, err := s.read(c, request)
+	a, err := s.admit(c, e, request, pb.RequestKind_REQUEST_KIND_NON_IDEMPOTENT)
 	if err != nil {
 		return nil, err
 	}
-	class, err := s.config.Source.Index().CheckClass(
-		caller, request.GetService(), request.GetClass(), pb.RequestKind_REQUEST_KIND_NON_IDEMPOTENT)
-	if err != nil {
-		return nil, err
-	}
-	timeLeft, err := s.timeLeft(e, class, request.GetTimeLeft())
-	if err != nil {
-		return nil, err
-	}
-	if err := s.config.Admitter.Admit(class); err != nil {
-		return nil, err
-	}
-	end, cancel := s.config.Tallier.Begin(class)
-	if timeLeft <= 0 {
-		end(0)
+	if a.timeLeft <= 0 {
+		a.end(0)
 		return nil, coder.New(pb.ResultCode_RESULT_CODE_NOT_RUN, "the time was over before the request could be sent")
 	}
-	request.TimeLeft = durationOf(timeLeft)
-	answer, err := s.config.Submitter.Submit(c.Request().Context(), caller, request)
+	request.TimeLeft = durationOf(a.timeLeft)
+	answer, err := s.config.Submitter.Submit(c.Request().Context(), a.caller, request)
 	if err != nil {
-		cancel()
+		a.cancel()
 		return nil, s.notRefused(err)
 	}
-	end(submitCoverage(answer))
+	a.end(submitCoverage(answer))
 	return answer, nil
 }
 
