Wait on a clock in one place

Cause: seven packages had the same function that waits on the clock or for the context. Change: internal/clock/sleeper. The waits of submitter and applier stay: they also tell which came first. Behaviour is the same; no test changed.

--- a/internal/config/healer/healer.go
+++ b/internal/config/healer/healer.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/coder/quartz"
 
+	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 )
@@ -130,7 +131,7 @@
 			delete(h.queued, from)
 			h.mutex.Unlock()
 			h.pull(ctx, from)
-			h.pause(ctx)
+			sleeper.Sleep(ctx, h.config.Clock, pullPause)
 		}
 	}
 }
@@ -171,12 +172,3 @@
 	h.exact.Inc()
 	return &pb.ConfigPull{Versions: h.config.Keeper.Versions()}
 }
-
-func (h *Healer) pause(ctx context.Context) {
-	timer := h.config.Clock.NewTimer(pullPause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/config/relayer/relayer.go
+++ b/internal/config/relayer/relayer.go
@@ -14,6 +14,7 @@
 	"github.com/coder/quartz"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
@@ -119,16 +120,16 @@
 	for failures := 0; ctx.Err() == nil; {
 		relays := r.relays()
 		if len(relays) == 0 || r.IsRelay() {
-			r.sleep(ctx, idlePause)
+			sleeper.Sleep(ctx, r.config.Clock, idlePause)
 			continue
 		}
 		taken, err := r.pull(ctx, relays[failures%len(relays)])
 		switch {
 		case err != nil:
 			failures++
-			r.sleep(ctx, retryPause+time.Duration(r.config.Random.Int64N(int64(retryPause))))
+			sleeper.Sleep(ctx, r.config.Clock, retryPause+time.Duration(r.config.Random.Int64N(int64(retryPause))))
 		case taken == 0:
-			r.sleep(ctx, r.jitter(emptyPause))
+			sleeper.Sleep(ctx, r.config.Clock, r.jitter(emptyPause))
 		}
 	}
 }
@@ -213,12 +214,3 @@
 func (r *Relayer) jitter(d time.Duration) time.Duration {
 	return d/2 + time.Duration(r.config.Random.Int64N(int64(d/2)))
 }
-
-func (r *Relayer) sleep(ctx context.Context, d time.Duration) {
-	timer := r.config.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/config/watcher/watcher.go
+++ b/internal/config/watcher/watcher.go
@@ -15,6 +15,7 @@
 	"github.com/coder/quartz"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/platform/client"
 )
@@ -85,7 +86,7 @@
 	pause.InitialInterval = firstRetryPause
 	for ctx.Err() == nil {
 		if !w.config.Active() {
-			w.sleep(ctx, idlePause)
+			sleeper.Sleep(ctx, w.config.Clock, idlePause)
 			continue
 		}
 		err := w.step(ctx)
@@ -101,7 +102,7 @@
 		next := pause.NextBackOff()
 		w.reachable.Store(false)
 		w.logFailure(err)
-		w.sleep(ctx, next)
+		sleeper.Sleep(ctx, w.config.Clock, next)
 	}
 }
 
@@ -137,7 +138,7 @@
 		if listing.Revision > 0 {
 			return nil
 		}
-		w.sleep(ctx, idlePause) // an empty store has no revision to watch from
+		sleeper.Sleep(ctx, w.config.Clock, idlePause) // an empty store has no revision to watch from
 		return nil
 	}
 	listing, err := w.config.Store.Watch(ctx, revision, watchWait)
@@ -147,7 +148,7 @@
 	if listing.Revision < revision {
 		w.config.Logger.Error("platform's revision went back", "before", revision, "now", listing.Revision)
 		w.listedAt = now.Add(-2 * listGap)
-		w.sleep(ctx, idlePause)
+		sleeper.Sleep(ctx, w.config.Clock, idlePause)
 	}
 	w.apply(listing)
 	return nil
@@ -175,12 +176,3 @@
 	decoded.Version = o.Version
 	return decoded, nil
 }
-
-func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
-	timer := w.config.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entry/tracker/tracker.go
+++ b/internal/entry/tracker/tracker.go
@@ -13,6 +13,7 @@
 	"github.com/coder/quartz"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 )
@@ -233,7 +234,7 @@
 	for ctx.Err() == nil {
 		answer, err := t.pull(ctx, m, pull)
 		if err != nil {
-			t.sleep(ctx)
+			sleeper.Sleep(ctx, t.config.Clock, t.config.Period)
 			continue
 		}
 		t.take(m.GetName(), answer)
@@ -296,12 +297,3 @@
 		delete(t.statuses, leaf)
 	}
 }
-
-func (t *Tracker) sleep(ctx context.Context) {
-	timer := t.config.Clock.NewTimer(t.config.Period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/node/assembler/stop.go
+++ b/internal/node/assembler/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
 )
 
 const (
@@ -37,7 +39,7 @@
 	n.stopping.Store(true)
 	n.prober.Leave()
 	n.prober.Announce(ctx)
-	n.wait(ctx, kept)
+	sleeper.Sleep(ctx, n.config.Clock, kept)
 	n.finish(ctx, "callers", callers.Shutdown)
 	if h, ok := any(n.dispatcher).(handover); ok {
 		n.finish(ctx, "leaf calls", h.HandOver)
@@ -62,7 +64,7 @@
 		if n.peerWork.Load() > 0 {
 			quietSince = n.config.Clock.Now()
 		}
-		n.wait(ctx, quietPoll)
+		sleeper.Sleep(ctx, n.config.Clock, quietPoll)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -70,15 +72,6 @@
 	return nil
 }
 
-func (n *Node) wait(ctx context.Context, d time.Duration) {
-	timer := n.config.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // closeWhenStopping asks callers that keep a connection to go elsewhere with their next request.
 func (n *Node) closeWhenStopping(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/stand/storer/storer.go
+++ b/internal/stand/storer/storer.go
@@ -4,7 +4,6 @@
 package storer
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -20,6 +19,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/platform/client"
 )
@@ -98,7 +98,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b := s.currentBehaviour()
 		if d := b.GetDelay().AsDuration(); d > 0 {
-			s.sleep(r.Context(), d)
+			sleeper.Sleep(r.Context(), s.clock, d)
 		}
 		if b.GetOutage() {
 			http.Error(w, "outage", http.StatusServiceUnavailable)
@@ -303,15 +303,6 @@
 	_, _ = w.Write(body)
 }
 
-func (s *Storer) sleep(ctx context.Context, d time.Duration) {
-	timer := s.clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func readControl(w http.ResponseWriter, r *http.Request, m proto.Message) bool {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxControlBytes))
 	if err == nil {
--- a/internal/view/lister/lister.go
+++ b/internal/view/lister/lister.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/coder/quartz"
 
+	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/platform/client"
 )
@@ -70,10 +71,10 @@
 // Run reads the list until the context ends. Failed readings are repeated with growing pauses.
 func (l *Lister) Run(ctx context.Context) {
 	pause := l.config.Period
-	l.sleep(ctx, time.Duration(l.config.Random.Int64N(int64(startSpread))))
+	sleeper.Sleep(ctx, l.config.Clock, time.Duration(l.config.Random.Int64N(int64(startSpread))))
 	for ctx.Err() == nil {
 		if !l.config.Active() {
-			l.sleep(ctx, idlePause)
+			sleeper.Sleep(ctx, l.config.Clock, idlePause)
 			continue
 		}
 		if err := l.read(ctx); err != nil {
@@ -82,7 +83,7 @@
 		} else {
 			pause = l.config.Period
 		}
-		l.sleep(ctx, pause/2+time.Duration(l.config.Random.Int64N(int64(pause))))
+		sleeper.Sleep(ctx, l.config.Clock, pause/2+time.Duration(l.config.Random.Int64N(int64(pause))))
 	}
 }
 
@@ -155,15 +156,6 @@
 	}
 }
 
-func (l *Lister) sleep(ctx context.Context, d time.Duration) {
-	timer := l.config.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func sortedKeys(set map[string]bool) []string {
 	keys := make([]string, 0, len(set))
 	for k := range set {
