Forward plain requests on the users' platform: first whole path

Cause: the product had no way to serve callers that speak plain HTTP with routes, and no adapter to the platform. Change: stepfront, one role on each VM. New: routes, gathering with second sends under a shared budget, connections to leaves that match answers to requests, beliefs about leaves, documents that nodes hand to each other. Reused: peer links, view, metrics, command lines. platform/ translates settings, store objects, header fields and paths. Ruled out: the owner way for the first version (two hops between zones of an aim of 50 to 80 ms).

--- /dev/null
+++ b/cmd/stepfront/main.go
@@ -0,0 +1,14 @@
+// Command stepfront hands its arguments to package frontend.
+package main
+
+import (
+	"os"
+
+	"github.com/magnoliastep/magnoliastep/internal/command/frontend"
+)
+
+func main() {
+	os.Exit(frontend.New(frontend.Config{
+		Arguments: os.Args[1:], Output: os.Stdout, Errors: os.Stderr, Getenv: os.Getenv,
+	}).Run())
+}
--- /dev/null
+++ b/internal/command/frontend/check.go
@@ -0,0 +1,30 @@
+package frontend
+
+import (
+	"fmt"
+
+	"github.com/magnoliastep/magnoliastep/platform"
+)
+
+// checkVerb checks the settings file.
+type checkVerb struct {
+	Settings string `help:"Path of the settings file; by default the one that the platform names." placeholder:"FILE"`
+}
+
+// Run prints what the settings say.
+func (v *checkVerb) Run(c *Config) error {
+	s, err := platform.ReadSettings(settingsPath(v.Settings, c))
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.Output, "node %s in zone %s: callers %s, directory %s, store %s\n",
+		s.NodeName, s.AvailabilityZone, s.CallerAddress, s.DirectoryAddress, s.StoreAddress)
+	return err
+}
+
+func settingsPath(flag string, c *Config) string {
+	if flag != "" {
+		return flag
+	}
+	return c.Getenv(platform.SettingsVariable)
+}
--- /dev/null
+++ b/internal/forward/matcher/matcher.go
@@ -0,0 +1,133 @@
+// Package matcher selects the route of a request. One version of the configuration flows in; for the host
+// and path of a request the route with the longest matching prefix flows out. A Matcher never changes: a
+// request keeps the one that it began with, so that all parts of its answer come from one version.
+package matcher
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+type (
+	// Config is one version of the configuration, in full.
+	Config struct {
+		// Version grows with each change.
+		Version  int64
+		Routes   []Route
+		Services []Service
+		Limits   Limits
+	}
+
+	// Route says how the requests of a host under a path prefix are served. Exactly one of Targets and
+	// Shards is not empty.
+	Route struct {
+		Name string
+		// Host is in lower case.
+		Host string
+		// PathPrefix begins and ends with a slash.
+		PathPrefix string
+		// Idempotent requests may run more than once.
+		Idempotent bool
+		// Timeout is the longest time that a request may be kept waiting.
+		Timeout time.Duration
+		// TargetLatency is the time within which an answer has its full worth.
+		TargetLatency time.Duration
+		// Priority is the rank of the route; 0 is the highest.
+		Priority int
+		// Targets share the requests by weight.
+		Targets []Target
+		// Shards are the services that each answer a part of one request.
+		Shards []string
+		// Attempts is the largest number of leaves that may run one request, for each shard.
+		Attempts int
+		// TopRecords is how many records of all parts make up the answer.
+		TopRecords int
+		// MinCoverage is the share of shards without which an answer is no success, 0 to 1.
+		MinCoverage float64
+	}
+
+	// Target is a service with its weight among the targets of a route.
+	Target struct {
+		Service string
+		// Weight is at least 0.
+		Weight float64
+	}
+
+	// Service is a set of leaves that answer the same requests.
+	Service struct {
+		Name       string
+		HealthPath string
+		// MaxConnections is what each leaf accepts of all nodes together.
+		MaxConnections int
+		// WarmUp is how long a leaf is cold after its start.
+		WarmUp time.Duration
+		// WarmUpRate is the requests a second that a cold leaf bears; 0 when none is declared.
+		WarmUpRate float64
+	}
+
+	// Limits bound what a caller may send. A zero means no limit.
+	Limits struct {
+		MaxHeaderBytes int
+		MaxBodyBytes   int64
+		HeaderTimeout  time.Duration
+		IdleTimeout    time.Duration
+	}
+
+	// Matcher finds routes in one version of the configuration.
+	Matcher struct {
+		config Config
+		// hosts has the routes of each host, longest prefix first.
+		hosts    map[string][]*Route
+		services map[string]*Service
+	}
+)
+
+// New returns a Matcher. The configuration must not be changed afterwards.
+func New(c Config) *Matcher {
+	m := &Matcher{config: c, hosts: map[string][]*Route{}, services: map[string]*Service{}}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		m.hosts[r.Host] = append(m.hosts[r.Host], r)
+	}
+	for _, routes := range m.hosts {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
+	}
+	for i := range c.Services {
+		m.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return m
+}
+
+// Match returns the route of a request, or nil when none matches. The host may have a port and the path a
+// query.
+func (m *Matcher) Match(host, path string) *Route {
+	host, _, _ = strings.Cut(host, ":")
+	path, _, _ = strings.Cut(path, "?")
+	for _, r := range m.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns the named service, or nil.
+func (m *Matcher) Service(name string) *Service {
+	return m.services[name]
+}
+
+// Version returns the version of the configuration.
+func (m *Matcher) Version() int64 {
+	return m.config.Version
+}
+
+// Limits returns what callers may send.
+func (m *Matcher) Limits() Limits {
+	return m.config.Limits
+}
+
+// Routes returns all routes. The slice must not be changed.
+func (m *Matcher) Routes() []Route {
+	return m.config.Routes
+}
--- /dev/null
+++ b/internal/forward/server/answer.go
@@ -0,0 +1,189 @@
+package server
+
+import (
+	"bytes"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
+	"github.com/magnoliastep/magnoliastep/internal/forward/merger"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
+)
+
+const (
+	// busyRetryAfter is when to come back after a refusal for want of leaves; jitter is added so that callers
+	// do not come back all at once.
+	busyRetryAfter = 60 * time.Millisecond
+)
+
+// head returns the request line and header fields as leaves see them, without those that depend on leaf and
+// time.
+func (x *exchange) head(bodyBytes int) []byte {
+	r := x.request
+	var b bytes.Buffer
+	b.WriteString(r.Method + " " + r.RequestURI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	names := x.server.config.Names
+	exclude := connectionFields(r.Header)
+	for _, n := range []string{names.TimeLeft, names.LeafID, "Content-Length", "Host", "Expect"} {
+		exclude[textproto.CanonicalMIMEHeaderKey(n)] = true
+	}
+	// Writing to a buffer does not fail.
+	_ = r.Header.WriteSubset(&b, exclude)
+	if bodyBytes > 0 || r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Method == http.MethodPost ||
+		r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(bodyBytes) + "\r\n")
+	}
+	return b.Bytes()
+}
+
+// connectionFields returns the names of the header fields that concern one connection only.
+func connectionFields(h http.Header) map[string]bool {
+	fields := map[string]bool{
+		"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+		"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	}
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			fields[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return fields
+}
+
+// write writes the answer for a result.
+func (x *exchange) write(r gatherer.Result) {
+	switch r.Outcome {
+	case gatherer.OutcomeAnswered:
+		if len(x.route.Shards) > 0 {
+			x.writeParts(r)
+		} else {
+			x.writeReply(r.Parts[0])
+		}
+		x.observeAnswer(r)
+	case gatherer.OutcomeNotRun:
+		x.log("not_run", http.StatusServiceUnavailable, r)
+		x.refuse("not_run", busyRetryAfter)
+	case gatherer.OutcomeTimeout:
+		x.log("timeout", http.StatusGatewayTimeout, r)
+		x.fail(http.StatusGatewayTimeout, "timeout")
+	case gatherer.OutcomeGone:
+		x.log("caller_gone", 0, r)
+		x.observe("caller_gone")
+	case gatherer.OutcomeFailed:
+		if r.Failure != nil && len(x.route.Shards) == 0 {
+			x.log("leaf_failure", r.Failure.Status, r)
+			x.writeReply(r.Failure)
+			x.observe("leaf_failure")
+			return
+		}
+		x.log("failed", http.StatusBadGateway, r)
+		x.fail(http.StatusBadGateway, "failed")
+	}
+}
+
+// observeAnswer counts a success and logs one that was not plain.
+func (x *exchange) observeAnswer(r gatherer.Result) {
+	outcome := "answered"
+	if len(r.Parts) < len(x.services) {
+		outcome = "partial"
+	}
+	if outcome == "partial" || r.Retries > 0 || time.Since(x.arrivedAt) > x.route.TargetLatency {
+		x.log(outcome, http.StatusOK, r)
+	}
+	x.observe(outcome)
+}
+
+// writeParts writes the greatest records of all parts.
+func (x *exchange) writeParts(r gatherer.Result) {
+	records := merger.New(x.route.TopRecords)
+	signatures := make([]string, 0, len(r.Parts))
+	for _, p := range r.Parts {
+		records.Add(p.Body)
+		signatures = append(signatures, p.Signature)
+	}
+	h := x.writer.Header()
+	names := x.server.config.Names
+	h.Set(names.RequestID, x.id)
+	h.Set(names.PartSignatures, strings.Join(signatures, ", "))
+	h.Set(names.MissingParts, strconv.Itoa(len(x.services)-len(r.Parts)))
+	h.Set("Content-Type", "application/octet-stream")
+	x.writeBody(http.StatusOK, records.Body())
+}
+
+// writeReply writes what a leaf answered, unchanged.
+func (x *exchange) writeReply(r *exchanger.Reply) {
+	h := x.writer.Header()
+	exclude := connectionFields(r.Header)
+	for name, values := range r.Header {
+		if !exclude[name] && name != "Content-Length" {
+			h[name] = values
+		}
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // keeps the server from guessing one
+	}
+	x.writeBody(r.Status, r.Body)
+}
+
+func (x *exchange) writeBody(status int, body []byte) {
+	if x.request.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified {
+		x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	x.writer.WriteHeader(status)
+	// The only reason for an error is that the caller has left.
+	_, _ = x.writer.Write(body)
+}
+
+// noRoute answers a request for which there is no route. Without the newest configuration that is no reason
+// to deny it.
+func (x *exchange) noRoute(version int64) {
+	x.version = version
+	if !x.server.config.Fresh() {
+		x.refuse("configuration_not_fresh", startingRetryAfter)
+		return
+	}
+	x.fail(http.StatusNotFound, "no_route")
+}
+
+// refuse answers that the request has not run and when to come back.
+func (x *exchange) refuse(reason string, after time.Duration) {
+	after += time.Duration(x.server.config.Random() * float64(after))
+	x.writer.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	x.fail(http.StatusServiceUnavailable, reason)
+}
+
+// fail answers with a status of this node.
+func (x *exchange) fail(status int, reason string) {
+	h := x.writer.Header()
+	if x.id != "" {
+		h.Set(x.server.config.Names.RequestID, x.id)
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	x.writeBody(status, []byte("stepfront: "+reason+"\n"))
+	x.server.config.Logger.Info("request rejected", "request_id", x.id, "route", x.routeName(), "status", status,
+		"reason", reason, "config_version", x.version, "took", time.Since(x.arrivedAt).Round(time.Microsecond))
+	x.observe(reason)
+}
+
+func (x *exchange) observe(outcome string) {
+	x.server.config.Observe(x.routeName(), outcome, time.Since(x.arrivedAt))
+}
+
+func (x *exchange) routeName() string {
+	if x.route == nil {
+		return ""
+	}
+	return x.route.Name
+}
+
+// log writes the line from which an on-call engineer learns why a request ended as it did.
+func (x *exchange) log(outcome string, status int, r gatherer.Result) {
+	x.server.config.Logger.Info("request", "request_id", x.id, "route", x.routeName(), "outcome", outcome,
+		"status", status, "config_version", x.version, "parts", len(r.Parts), "shards", len(x.services),
+		"hedges", r.Hedges, "retries", r.Retries, "rejections", r.Rejections, "budget_blocked", r.Blocked,
+		"waiting_for", strings.Join(r.Waiting, ","), "time_left", x.left,
+		"took", time.Since(x.arrivedAt).Round(time.Microsecond))
+}
--- /dev/null
+++ b/internal/node/forwarder/fleet.go
@@ -0,0 +1,180 @@
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/pooler"
+	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
+)
+
+const (
+	// peerDialTimeout bounds connecting to another node.
+	peerDialTimeout = 500 * time.Millisecond
+	// peerKeepAlive times show that a link went silent.
+	peerKeepAliveIdle     = time.Second
+	peerKeepAliveInterval = 500 * time.Millisecond
+	peerKeepAliveCount    = 3
+	// coldNodes is how many nodes call a cold leaf; each may send one call at once.
+	coldNodes = 4
+	// coldMargin is the part of a cold leaf's rate that is used.
+	coldMargin = 0.9
+	// maxStalls is how many stalled leaves wait to be told to others.
+	maxStalls = 64
+	// stallTime is how long the others avoid a stalled leaf without hearing of it again.
+	stallTime = 150 * time.Millisecond
+	// stallPause is the time between two reports of the same leaf.
+	stallPause = 60 * time.Millisecond
+	// maxStallPeers bounds the nodes that one report goes to.
+	maxStallPeers = 24
+)
+
+// stall is a leaf with an open call that is late.
+type stall struct {
+	leafID string
+	since  time.Time
+}
+
+// HandleFrame handles the frames of other nodes.
+func (n *Node) HandleFrame(ctx context.Context, f *pb.Frame, reply func(*pb.Frame)) {
+	switch body := f.GetBody().(type) {
+	case *pb.Frame_Probe:
+		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ProbeReply{ProbeReply: n.prober.HandleProbe(body.Probe)}})
+	case *pb.Frame_IndirectProbe:
+		answer := n.prober.HandleIndirect(ctx, body.IndirectProbe)
+		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ProbeReply{ProbeReply: answer}})
+	case *pb.Frame_DocumentNotice:
+		n.spreader.HandleNotice(ctx, f.GetFrom(), body.DocumentNotice)
+	case *pb.Frame_DocumentPull:
+		answer := n.spreader.HandlePull(body.DocumentPull)
+		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_Documents{Documents: answer}})
+	case *pb.Frame_LeafStalls:
+		n.handleStalls(body.LeafStalls)
+	default:
+		n.config.Logger.Warn("frame is not known", "from", f.GetFrom())
+	}
+}
+
+func (n *Node) self() *pb.Member {
+	return &pb.Member{
+		Name: n.config.NodeName, AvailabilityZone: n.config.AvailabilityZone, Region: n.config.Region,
+		PeerAddress: n.config.PeerAddress, CallerAddress: n.config.CallerAddress,
+		State: pb.MemberState_MEMBER_STATE_ALIVE, Incarnation: 1, StartedAt: n.startedAt.UnixNano(),
+	}
+}
+
+func (n *Node) otherSeeds() []string {
+	return slices.DeleteFunc(slices.Clone(n.config.SeedPeers), func(a string) bool { return a == n.config.PeerAddress })
+}
+
+// otherPeers returns the peer addresses of the other live nodes in random order.
+func (n *Node) otherPeers() []string {
+	var addresses []string
+	for _, m := range n.prober.Members() {
+		if m.GetName() != n.config.NodeName {
+			addresses = append(addresses, m.GetPeerAddress())
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+// liveNodes returns the number of live nodes and keeps the shares of connections in step with it.
+func (n *Node) liveNodes() int {
+	nodes := max(1, len(n.prober.Members()))
+	n.pooler.SetNodes(nodes)
+	return nodes
+}
+
+// coldShare returns which part of a cold leaf's rate this node may use. In a large fleet only a few nodes, the
+// same in the view of all, may call it.
+func (n *Node) coldShare(leafID string) float64 {
+	members := n.prober.Members()
+	if len(members) <= coldNodes {
+		return coldMargin / float64(max(1, len(members)))
+	}
+	for _, m := range ranker.New(members).Leading(ranker.Key{Name: leafID}, coldNodes) {
+		if m.GetName() == n.config.NodeName {
+			return coldMargin / coldNodes
+		}
+	}
+	return 0
+}
+
+// reportStall passes a stalled leaf on to the goroutine that tells others; it never blocks.
+func (n *Node) reportStall(l *pooler.Leaf, since time.Time) {
+	select {
+	case n.stalls <- stall{leafID: l.Entry().ID, since: since}:
+	default:
+	}
+}
+
+// sendStalls tells the other nodes of stalled leaves, each leaf now and then.
+func (n *Node) sendStalls(ctx context.Context) {
+	toldAt := map[string]time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-n.stalls:
+			now := time.Now()
+			if now.Sub(toldAt[s.leafID]) < stallPause {
+				continue
+			}
+			if len(toldAt) > 4*maxStalls {
+				clear(toldAt)
+			}
+			toldAt[s.leafID] = now
+			n.sendStall(ctx, s, now)
+		}
+	}
+}
+
+func (n *Node) sendStall(ctx context.Context, s stall, now time.Time) {
+	message := &pb.LeafStalls{Stalls: []*pb.LeafStall{{LeafId: s.leafID, Age: durationpb.New(now.Sub(s.since))}}}
+	peers := n.otherPeers()
+	for _, address := range peers[:min(len(peers), maxStallPeers)] {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, stallTime)
+			defer cancel()
+			// A report that is lost costs the receiver one late call.
+			_ = n.messenger.Send(ctx, address, messenger.PlaneControl,
+				&pb.Frame{Body: &pb.Frame_LeafStalls{LeafStalls: message}})
+		}()
+	}
+}
+
+func (n *Node) handleStalls(m *pb.LeafStalls) {
+	now := time.Now()
+	for _, s := range m.GetStalls() {
+		if l := n.pooler.Leaf(s.GetLeafId()); l != nil {
+			l.Scorer().ReportStall(now.Add(-s.GetAge().AsDuration()), now.Add(stallTime))
+		}
+	}
+}
+
+func (n *Node) observe(route, outcome string, took time.Duration) {
+	n.config.Metrics.GetOrCreateCounter(`stepfront_requests_total{outcome="` + outcome + `"}`).Inc()
+	if route != "" {
+		n.config.Metrics.GetOrCreateHistogram(`stepfront_request_seconds{route="` + route + `"}`).Update(took.Seconds())
+	}
+}
+
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	n.config.Metrics.WritePrometheus(w)
+}
+
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: peerDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: peerKeepAliveIdle, Interval: peerKeepAliveInterval, Count: peerKeepAliveCount,
+	}}
+	return d.DialContext(ctx, "tcp", address)
+}
--- /dev/null
+++ b/internal/node/forwarder/records.go
@@ -0,0 +1,191 @@
+package forwarder
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"time"
+
+	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
+	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
+	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
+	"github.com/magnoliastep/magnoliastep/internal/records/spreader"
+	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/pooler"
+)
+
+const (
+	// watchWait is how long one watch waits for a change. A store that turns this node away silently is noticed
+	// when it is over.
+	watchWait = 5 * time.Second
+	// joinPause is the time between two tries to get the first documents from other nodes.
+	joinPause = 300 * time.Millisecond
+	// freshShare of the time in which a configuration must be in force is how old its confirmation may be.
+	freshShare = 0.8
+)
+
+// nodeRecord is what a node writes of itself into the store.
+type nodeRecord struct {
+	PeerAddress string `json:"peer_address"`
+}
+
+func (n *Node) assembleRecords() {
+	c := n.config
+	n.replicator = replicator.New(replicator.Config{Clock: c.Clock, Changed: n.documentChanged})
+	kinds := []string{c.Kinds.Configuration, c.Kinds.Leaves, c.Kinds.Evacuations, c.Kinds.Nodes}
+	n.spreader = spreader.New(spreader.Config{
+		Kinds: kinds, PeerAddress: c.PeerAddress, Messenger: n.messenger, Replica: n.replicator, Peers: n.otherPeers,
+		Clock: c.Clock, Logger: c.Logger,
+		Learned: func(from string, documents int) {
+			c.Logger.Info("documents learned from a node", "from", from, "documents", documents)
+		},
+	})
+	for _, k := range kinds {
+		n.watchers = append(n.watchers, watcher.New(watcher.Config{
+			Kind: k, Store: c.Store, Replica: &announcer{Replicator: n.replicator, announce: n.spreader.Announce},
+			Wait: watchWait, Due: func() bool { return true }, Contact: func(bool) {}, Clock: c.Clock, Logger: c.Logger,
+		}))
+	}
+}
+
+// announcer tells other nodes what came from the store.
+type announcer struct {
+	*replicator.Replicator
+	announce func()
+}
+
+func (a *announcer) ApplyChanges(
+	kind string, after int64, documents []replicator.Document, revision int64, confirmedAt time.Time,
+) bool {
+	applied := a.Replicator.ApplyChanges(kind, after, documents, revision, confirmedAt)
+	if len(documents) > 0 {
+		a.announce()
+	}
+	return applied
+}
+
+// documentChanged passes on a document that is new to this node.
+func (n *Node) documentChanged(d replicator.Document) {
+	switch d.Kind {
+	case n.config.Kinds.Configuration:
+		n.configurationChanged(d)
+	case n.config.Kinds.Leaves:
+		n.leafChanged(d)
+	case n.config.Kinds.Evacuations:
+		n.evacuationChanged(d)
+	case n.config.Kinds.Nodes:
+		n.nodeChanged(d)
+	}
+}
+
+func (n *Node) configurationChanged(d replicator.Document) {
+	if d.Deleted {
+		n.config.Logger.Warn("configuration was deleted in the store; the last one stays in force", "document", d.Name)
+		return
+	}
+	c, ok, err := n.config.Decoder.Configuration(d)
+	if !ok {
+		return
+	}
+	if err != nil {
+		n.config.Logger.Error("configuration is not usable; the last one stays in force", "revision", d.Revision,
+			"error", err)
+		return
+	}
+	if old := n.matcher.Load(); old != nil && old.Version() >= c.Version {
+		return
+	}
+	services := make(map[string]pooler.Service, len(c.Services))
+	for _, s := range c.Services {
+		services[s.Name] = pooler.Service{MaxConnections: s.MaxConnections, WarmUpRate: s.WarmUpRate}
+	}
+	n.pooler.Declare(services)
+	n.matcher.Store(matcher.New(c))
+	n.config.Logger.Info("configuration in force", "config_version", c.Version, "revision", d.Revision,
+		"routes", len(c.Routes), "services", len(c.Services))
+}
+
+func (n *Node) leafChanged(d replicator.Document) {
+	if d.Deleted {
+		n.enroller.Vanished(d.Name)
+		return
+	}
+	entry, err := n.config.Decoder.Leaf(d)
+	if err != nil {
+		n.enroller.Unreadable(d.Name, err)
+		return
+	}
+	n.enroller.Put(entry)
+}
+
+func (n *Node) evacuationChanged(d replicator.Document) {
+	n.mutex.Lock()
+	if d.Deleted {
+		delete(n.evacuated, d.Name)
+	} else {
+		n.evacuated[d.Name] = true
+	}
+	zones := maps.Clone(n.evacuated)
+	n.mutex.Unlock()
+	n.pooler.Evacuate(zones)
+	n.config.Logger.Info("zone evacuation changed", "zone", d.Name, "out_of_service", !d.Deleted, "revision", d.Revision)
+}
+
+func (n *Node) nodeChanged(d replicator.Document) {
+	if d.Deleted {
+		return
+	}
+	var r nodeRecord
+	if err := json.Unmarshal(d.Data, &r); err != nil || r.PeerAddress == "" {
+		n.config.Logger.Warn("node record is not usable", "node", d.Name, "error", err)
+		return
+	}
+	if r.PeerAddress != n.config.PeerAddress {
+		n.prober.AddCandidates([]string{r.PeerAddress})
+	}
+}
+
+// join gets what the node needs from the store or from other nodes, and then joins the others.
+func (n *Node) join(ctx context.Context) {
+	go n.register(ctx)
+	for attempt := 0; !n.complete(); attempt++ {
+		seeds := n.otherSeeds()
+		if attempt > 0 && len(seeds) > 0 {
+			seed := seeds[attempt%len(seeds)]
+			if err := n.spreader.Pull(ctx, seed); err != nil {
+				n.config.Logger.Info("seed did not answer", "peer_address", seed, "error", err)
+			}
+		}
+		sleeper.Sleep(ctx, n.config.Clock, joinPause)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	n.ready.Store(true)
+	n.config.Logger.Info("node is ready", "after", n.config.Clock.Since(n.startedAt))
+	n.prober.Run(ctx)
+}
+
+// complete tells whether the node knows the configuration and the leaves.
+func (n *Node) complete() bool {
+	return n.matcher.Load() != nil && n.replicator.Position(n.config.Kinds.Leaves).Revision > 0
+}
+
+// register writes this node's address into the store, so that nodes which start later find it.
+func (n *Node) register(ctx context.Context) {
+	data, err := json.Marshal(nodeRecord{PeerAddress: n.config.PeerAddress})
+	for err == nil && ctx.Err() == nil {
+		failure := n.config.Store.Put(ctx, n.config.Kinds.Nodes, n.config.NodeName, data)
+		if failure == nil {
+			return
+		}
+		n.config.Logger.Info("node not registered yet", "error", failure)
+		sleeper.Sleep(ctx, n.config.Clock, time.Second)
+	}
+}
+
+// fresh tells whether the configuration in force was confirmed so lately that no newer one can be due.
+func (n *Node) fresh() bool {
+	age := n.config.Clock.Since(n.replicator.Position(n.config.Kinds.Configuration).ConfirmedAt)
+	return age < watchWait+time.Duration(freshShare*float64(n.config.ConfigurationTime))
+}
