Let one node read the store on behalf of all

Change: watches of 1 s; for each kind the first node in rank reads and tells the others what it has confirmed; the next ones read when that is too old. Changes gather for 150 ms.

--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
@@ -12,18 +13,34 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/spreader"
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/pooler"
+	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
 )
 
 const (
-	// watchWait is how long one watch waits for a change. A store that turns this node away silently is noticed
-	// when it is over.
-	watchWait = 5 * time.Second
+	// watchWait is how long one watch of configuration and leaves waits for a change. A watch that the store has
+	// forgotten is noticed when it is over, so it is well below the time in which a change must be in force.
+	watchWait = time.Second
+	// evacuationWait and nodeWait are longer: evacuations have more time, and nodes find each other by rumours.
+	evacuationWait = 2500 * time.Millisecond
+	nodeWait       = 20 * time.Second
+	// readerAge is how old the confirmation of what this node knows may be, beyond the wait of a watch, before it
+	// reads the store itself.
+	readerAge = 600 * time.Millisecond
+	// readerStep is added for each node that is to read before this one.
+	readerStep = 150 * time.Millisecond
+	// maxReaderRank bounds that, so that all nodes of a large fleet read when none hears of the store.
+	maxReaderRank = 6
+	// seedPause is how long a node that is no seed waits for the seeds to tell what they have read.
+	seedPause = time.Second
 	// joinPause is the time between two tries to get the first documents from other nodes.
 	joinPause = 300 * time.Millisecond
 	// freshShare of the time in which a configuration must be in force is how old its confirmation may be.
 	freshShare = 0.8
 )
 
+// readerKey ranks the nodes that read a kind from the store.
+const readerKey = "store-reader/"
+
 // nodeRecord is what a node writes of itself into the store.
 type nodeRecord struct {
 	PeerAddress string `json:"peer_address"`
@@ -40,14 +57,41 @@
 			c.Logger.Info("documents learned from a node", "from", from, "documents", documents)
 		},
 	})
+	waits := map[string]time.Duration{c.Kinds.Evacuations: evacuationWait, c.Kinds.Nodes: nodeWait}
 	for _, k := range kinds {
+		wait := waits[k]
+		if wait == 0 {
+			wait = watchWait
+		}
 		n.watchers = append(n.watchers, watcher.New(watcher.Config{
 			Kind: k, Store: c.Store, Replica: &announcer{Replicator: n.replicator, announce: n.spreader.Announce},
-			Wait: watchWait, Due: func() bool { return true }, Contact: func(bool) {}, Clock: c.Clock, Logger: c.Logger,
+			Wait: wait, Due: func() bool { return n.readsStore(k, wait) }, Clock: c.Clock, Logger: c.Logger,
 		}))
 	}
 }
 
+// readsStore tells whether this node is to read a kind from the store now. One node reads on behalf of all, the
+// same in the view of all; the next ones do when what they know has not been confirmed for too long.
+func (n *Node) readsStore(kind string, wait time.Duration) bool {
+	position := n.replicator.Position(kind)
+	if position.Revision == 0 {
+		return n.isSeed() || n.config.Clock.Since(n.startedAt) > seedPause
+	}
+	rank := maxReaderRank
+	for i, m := range ranker.New(n.prober.Members()).Leading(ranker.Key{Name: readerKey + kind}, maxReaderRank) {
+		if m.GetName() == n.config.NodeName {
+			rank = i
+			break
+		}
+	}
+	age := n.config.Clock.Since(position.ConfirmedAt)
+	return rank == 0 || age > wait+readerAge+time.Duration(rank)*readerStep
+}
+
+func (n *Node) isSeed() bool {
+	return len(n.config.SeedPeers) == 0 || slices.Contains(n.config.SeedPeers, n.config.PeerAddress)
+}
+
 // announcer tells other nodes what came from the store.
 type announcer struct {
 	*replicator.Replicator
@@ -58,12 +102,15 @@
 	kind string, after int64, documents []replicator.Document, revision int64, confirmedAt time.Time,
 ) bool {
 	applied := a.Replicator.ApplyChanges(kind, after, documents, revision, confirmedAt)
-	if len(documents) > 0 {
-		a.announce()
-	}
+	a.announce()
 	return applied
 }
 
+func (a *announcer) ApplyList(kind string, documents []replicator.Document, revision int64, confirmedAt time.Time) {
+	a.Replicator.ApplyList(kind, documents, revision, confirmedAt)
+	a.announce()
+}
+
 // documentChanged passes on a document that is new to this node.
 func (n *Node) documentChanged(d replicator.Document) {
 	switch d.Kind {
@@ -150,7 +197,7 @@
 	go n.register(ctx)
 	for attempt := 0; !n.complete(); attempt++ {
 		seeds := n.otherSeeds()
-		if attempt > 0 && len(seeds) > 0 {
+		if len(seeds) > 0 {
 			seed := seeds[attempt%len(seeds)]
 			if err := n.spreader.Pull(ctx, seed); err != nil {
 				n.config.Logger.Info("seed did not answer", "peer_address", seed, "error", err)
@@ -187,5 +234,5 @@
 // fresh tells whether the configuration in force was confirmed so lately that no newer one can be due.
 func (n *Node) fresh() bool {
 	age := n.config.Clock.Since(n.replicator.Position(n.config.Kinds.Configuration).ConfirmedAt)
-	return age < watchWait+time.Duration(freshShare*float64(n.config.ConfigurationTime))
+	return age < time.Duration(freshShare*float64(n.config.ConfigurationTime))
 }
--- a/internal/records/watcher/watcher.go
+++ b/internal/records/watcher/watcher.go
@@ -21,7 +21,9 @@
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
 	// idlePause is the time between two looks of a node that leaves watching to others.
-	idlePause = 200 * time.Millisecond
+	idlePause = 50 * time.Millisecond
+	// gatherPause is the time after a change in which further ones gather, so that one call returns them all.
+	gatherPause = 150 * time.Millisecond
 )
 
 // ErrHistoryGone says that changes were dropped that the watch would have returned.
@@ -54,8 +56,6 @@
 		Wait time.Duration
 		// Due tells whether this node is to read the store now; others may do it on its behalf.
 		Due func() bool
-		// Contact is told of each answer of the store.
-		Contact func(ok bool)
 		Clock   quartz.Clock
 		Logger  *slog.Logger
 	}
@@ -108,6 +108,9 @@
 		return err
 	}
 	w.config.Replica.ApplyChanges(w.config.Kind, after, documents, revision, w.config.Clock.Now())
+	if len(documents) > 0 {
+		sleeper.Sleep(ctx, w.config.Clock, gatherPause)
+	}
 	return nil
 }
 
@@ -126,7 +129,6 @@
 	if ctx.Err() != nil {
 		return
 	}
-	w.config.Contact(err == nil)
 	switch {
 	case err != nil && !w.failing:
 		w.failing, w.since = true, w.config.Clock.Now()
