Bound the calls under way at a leaf by the time of its answers; drop vanished leaves in time

A watch missed a removal for 1 s while the store dropped its history, and the leaf was then held for 2.2 s more. Change: the hold counts from when the entry was last confirmed, unless the store was away. Change: they end with it, and late answers lower the number of calls under way.

--- a/internal/forward/gatherer/run.go
+++ b/internal/forward/gatherer/run.go
@@ -25,6 +25,9 @@
 	hedgeLatest   = 0.4
 	// blockedPause is the time after which a second send that the budget did not allow is tried again.
 	blockedPause = 15 * time.Millisecond
+	// lateShare of the target latency is when the answer of one leaf is late: the rest is needed for the way, a
+	// second send and the slowest of many shards.
+	lateShare = 0.6
 	// maxSends bounds the sends of one shard, rejected ones included.
 	maxSends = 6
 )
@@ -37,8 +40,11 @@
 		// ctx bounds the calls; it outlives the request by lingerTime.
 		ctx    context.Context //nolint:containedctx // lives exactly as long as the run and its calls
 		cancel context.CancelFunc
-		events chan event
-		shards []shard
+		// wanted ends with the request: calls that wait for a connection then are not sent any more.
+		wanted   context.Context //nolint:containedctx // as ctx
+		unwanted context.CancelFunc
+		events   chan event
+		shards   []shard
 		// openCalls is the number of calls whose event has not come.
 		openCalls int
 		typical   time.Duration
@@ -78,8 +84,9 @@
 
 func newRun(g *Gatherer, r Request) *run {
 	ctx, cancel := context.WithCancel(context.Background())
+	wanted, unwanted := context.WithCancel(ctx)
 	n := &run{
-		gatherer: g, request: r, ctx: ctx, cancel: cancel,
+		gatherer: g, request: r, ctx: ctx, cancel: cancel, wanted: wanted, unwanted: unwanted,
 		events: make(chan event, len(r.Services)*maxSends), shards: make([]shard, len(r.Services)),
 		typical: g.typicalOf(r.Route),
 	}
@@ -242,15 +249,21 @@
 func (n *run) call(i, attempt int, leaf *pooler.Leaf) {
 	startedAt := time.Now()
 	leaf.Scorer().Begin(startedAt)
-	reply, err := leaf.Exchanger().Do(n.ctx, n.request.Message, func() {})
+	sentAt := time.Time{}
+	reply, err := leaf.Exchanger().Do(n.ctx, n.wanted, n.request.Message, func() { sentAt = time.Now() })
 	now := time.Now()
-	leaf.Scorer().End(startedAt, now, n.typical, n.outcome(reply, err))
+	outcome := n.outcome(reply, err)
+	leaf.Scorer().End(startedAt, now, n.typical, outcome)
+	if !sentAt.IsZero() && (outcome == scorer.Success || outcome == scorer.Abandoned) {
+		late := float64(now.Sub(sentAt)) > lateShare*float64(n.request.Route.TargetLatency)
+		leaf.Exchanger().Adapt(sentAt, now, late)
+	}
 	n.events <- event{shard: i, attempt: attempt, reply: reply, err: err, took: now.Sub(startedAt)}
 }
 
 func (n *run) outcome(reply *exchanger.Reply, err error) scorer.Outcome {
 	switch {
-	case err != nil && n.ctx.Err() != nil:
+	case err != nil && n.wanted.Err() != nil:
 		return scorer.Abandoned
 	case err != nil:
 		return scorer.Failure
@@ -369,6 +382,7 @@
 
 // finish ends the calls that are still open, after a while.
 func (n *run) finish() {
+	n.unwanted()
 	if n.openCalls == 0 {
 		n.cancel()
 		return
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -35,10 +35,6 @@
 const (
 	// maxAnswerBytes bounds the body of one leaf's answer.
 	maxAnswerBytes = 8 << 20
-	// holdMargin is left of the time for which a leaf that leaves goes on serving when it is dropped.
-	holdMargin = 800 * time.Millisecond
-	// maxHold is enough for the entry of a live leaf to come back after the store was away.
-	maxHold = 2200 * time.Millisecond
 	// probePeriod, probeTimeout and suspicionPeriod make a killed node known to all within about 3 seconds.
 	probePeriod     = 200 * time.Millisecond
 	probeTimeout    = 400 * time.Millisecond
@@ -158,7 +154,7 @@
 		Connected: connections.Inc, Random: rand.Float64, Logger: c.Logger,
 	})
 	n.enroller = enroller.New(enroller.Config{
-		Pool: n.pooler, Hold: max(0, min(maxHold, c.DrainTime-holdMargin)), Clock: c.Clock, Logger: c.Logger,
+		Pool: n.pooler, DrainTime: c.DrainTime, Clock: c.Clock, Logger: c.Logger,
 	})
 	n.gatherer = gatherer.New(gatherer.Config{
 		Pool: n.pooler, Budget: budgeter.Config{Share: c.RetryShare, Slack: c.RetrySlack}, Nodes: n.liveNodes,
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -112,12 +112,12 @@
 }
 
 // documentChanged passes on a document that is new to this node.
-func (n *Node) documentChanged(d replicator.Document) {
+func (n *Node) documentChanged(d replicator.Document, confirmedBefore time.Time) {
 	switch d.Kind {
 	case n.config.Kinds.Configuration:
 		n.configurationChanged(d)
 	case n.config.Kinds.Leaves:
-		n.leafChanged(d)
+		n.leafChanged(d, confirmedBefore)
 	case n.config.Kinds.Evacuations:
 		n.evacuationChanged(d)
 	case n.config.Kinds.Nodes:
@@ -152,9 +152,9 @@
 		"routes", len(c.Routes), "services", len(c.Services))
 }
 
-func (n *Node) leafChanged(d replicator.Document) {
+func (n *Node) leafChanged(d replicator.Document, confirmedBefore time.Time) {
 	if d.Deleted {
-		n.enroller.Vanished(d.Name)
+		n.enroller.Vanished(d.Name, confirmedBefore)
 		return
 	}
 	entry, err := n.config.Decoder.Leaf(d)
--- a/internal/records/replicator/replicator.go
+++ b/internal/records/replicator/replicator.go
@@ -35,8 +35,9 @@
 	// Config holds what a Replicator needs.
 	Config struct {
 		Clock quartz.Clock
-		// Changed is told of each document that is new, in order. It must not call the Replicator.
-		Changed func(d Document)
+		// Changed is told of each document that is new, in order, and until when this node's former knowledge of
+		// its kind was confirmed: the change is later. It must not call the Replicator.
+		Changed func(d Document, confirmedBefore time.Time)
 	}
 
 	// Position says what is known of a kind.
@@ -170,7 +171,7 @@
 		} else {
 			delete(k.deletedAt, d.Name)
 		}
-		r.config.Changed(d)
+		r.config.Changed(d, k.position.ConfirmedAt)
 	}
 	k.forget(now)
 }
--- a/internal/records/watcher/watcher.go
+++ b/internal/records/watcher/watcher.go
@@ -55,9 +55,9 @@
 		// Wait is how long one watch waits for a change.
 		Wait time.Duration
 		// Due tells whether this node is to read the store now; others may do it on its behalf.
-		Due func() bool
-		Clock   quartz.Clock
-		Logger  *slog.Logger
+		Due    func() bool
+		Clock  quartz.Clock
+		Logger *slog.Logger
 	}
 
 	// Watcher follows one kind.
--- a/internal/upstream/enroller/enroller.go
+++ b/internal/upstream/enroller/enroller.go
@@ -2,8 +2,9 @@
 // them; leaves flow into the pool and out of it.
 //
 // An entry that vanishes does not mean that its leaf is gone: entries lapse while the store is away and are
-// back soon after it. So a leaf whose entry has vanished is kept for a while, which is shorter than the time
-// for which a leaf that leaves goes on serving. A leaf that says that it drains gets nothing more at once.
+// back soon after it. So a leaf whose entry has vanished is kept for a while. Unless the store was away, that
+// ends before a leaf that leaves without a word stops serving, counted from when its entry was last confirmed.
+// A leaf that says that it drains gets nothing more at once.
 package enroller
 
 import (
@@ -16,6 +17,16 @@
 	"github.com/magnoliastep/magnoliastep/internal/upstream/pooler"
 )
 
+const (
+	// returnTime is how long the entry of a live leaf may take to come back after the store was away.
+	returnTime = 2200 * time.Millisecond
+	// awayTime is how old the last confirmation is when the store must have been away.
+	awayTime = 2500 * time.Millisecond
+	// dropMargin is left of the time for which a leaf that leaves goes on serving when it is dropped: requests
+	// on their way arrive a little later.
+	dropMargin = 500 * time.Millisecond
+)
+
 type (
 	// Pool holds the leaves that may be called.
 	Pool interface {
@@ -26,10 +37,10 @@
 	// Config holds what an Enroller needs.
 	Config struct {
 		Pool Pool
-		// Hold is how long a leaf is kept whose entry has vanished.
-		Hold   time.Duration
-		Clock  quartz.Clock
-		Logger *slog.Logger
+		// DrainTime is how long a leaf that leaves goes on serving after its entry has vanished.
+		DrainTime time.Duration
+		Clock     quartz.Clock
+		Logger    *slog.Logger
 	}
 
 	// Enroller keeps the pool in step with the entries. It is safe for concurrent use.
@@ -56,15 +67,25 @@
 	e.config.Pool.Put(entry, e.config.Clock.Now())
 }
 
-// Vanished takes note that the entry of a leaf is gone.
-func (e *Enroller) Vanished(id string) {
+// Vanished takes note that the entry of a leaf is gone, and until when it was known to be there.
+func (e *Enroller) Vanished(id string, confirmedBefore time.Time) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.stop(id)
+	unconfirmed := e.config.Clock.Since(confirmedBefore)
+	hold := e.hold(unconfirmed)
 	var timer *quartz.Timer
-	timer = e.config.Clock.AfterFunc(e.config.Hold, func() { e.remove(id, timer) })
+	timer = e.config.Clock.AfterFunc(hold, func() { e.remove(id, timer) })
 	e.leaving[id] = timer
-	e.config.Logger.Info("leaf entry vanished", "leaf", id, "removed_in", e.config.Hold)
+	e.config.Logger.Info("leaf entry vanished", "leaf", id, "removed_in", hold, "unconfirmed_for", unconfirmed)
+}
+
+// hold returns how long a leaf is kept whose entry was last confirmed that long ago.
+func (e *Enroller) hold(unconfirmed time.Duration) time.Duration {
+	if unconfirmed > awayTime {
+		return returnTime
+	}
+	return max(0, min(returnTime, e.config.DrainTime-dropMargin-unconfirmed))
 }
 
 // Unreadable takes note that the entry of a leaf names no leaf that could be called.
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -29,6 +29,11 @@
 	defaultIdle = 5 * time.Second
 	// idleMargin is subtracted from the timeout that the leaf states, so that no request crosses its close.
 	idleMargin = 500 * time.Millisecond
+	// allowedStep is added to the requests under way for an answer in time, and allowedCut times what is left of
+	// them for a late one.
+	allowedStep = 0.2
+	unlimited   = 1 << 20
+	allowedCut  = 0.8
 	// readBufferBytes holds the head of an answer and a small body.
 	readBufferBytes = 2 << 10
 )
@@ -80,6 +85,8 @@
 		ID string
 		// Deadline is when the caller stops waiting.
 		Deadline time.Time
+		// SendBy is when sending has lost its point; zero means at the Deadline.
+		SendBy time.Time
 	}
 
 	// Reply is what a leaf answered, complete.
@@ -103,6 +110,12 @@
 		idle []*connection
 		// open counts connections that are open or being opened.
 		open int
+		// busy counts connections that carry a request or are being opened for one.
+		busy int
+		// allowed is how many requests may be under way, 1 to the limit.
+		allowed float64
+		// loweredAt is when allowed was last cut.
+		loweredAt time.Time
 		// waiting has one channel for each request that waits for a connection, in order.
 		waiting []chan *connection
 		closed  bool
@@ -121,6 +134,7 @@
 	e := &Exchanger{config: c}
 	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
 	e.limit.Store(1)
+	e.allowed = unlimited
 	return e
 }
 
@@ -133,7 +147,7 @@
 func (e *Exchanger) Free() bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return len(e.idle) > 0 || e.open < int(e.limit.Load())
+	return e.busy < e.allowedNow()
 }
 
 // Close closes the idle connections and those that become idle.
@@ -149,10 +163,11 @@
 	}
 }
 
-// Do sends the request and returns the leaf's whole answer. When the context ends the connection is closed,
-// which leaves take as the end of the request. sent is called just before the first byte leaves.
-func (e *Exchanger) Do(ctx context.Context, r Request, sent func()) (*Reply, error) {
-	c, err := e.acquire(ctx)
+// Do sends the request and returns the leaf's whole answer. The request waits for a connection until wanted
+// ends. When the context ends the connection is closed, which leaves take as the end of the request. sent is
+// called just before the first byte leaves.
+func (e *Exchanger) Do(ctx, wanted context.Context, r Request, sent func()) (*Reply, error) {
+	c, err := e.acquire(wanted, r.SendBy)
 	if err != nil {
 		return nil, errors.CombineErrors(ErrNotSent, err)
 	}
@@ -170,32 +185,39 @@
 }
 
 // acquire returns a connection without a request on it.
-func (e *Exchanger) acquire(ctx context.Context) (*connection, error) {
+func (e *Exchanger) acquire(ctx context.Context, sendBy time.Time) (*connection, error) {
 	now := time.Now()
 	e.mutex.Lock()
-	for len(e.idle) > 0 {
+	for len(e.idle) > 0 && e.busy < e.allowedNow() {
 		c := e.idle[len(e.idle)-1]
 		e.idle = e.idle[:len(e.idle)-1]
 		if now.Before(c.expires) && !c.readable() {
+			e.busy++
 			e.mutex.Unlock()
 			return c, nil
 		}
 		e.open--
 		_ = c.Close()
 	}
-	if e.open < int(e.limit.Load()) {
+	if e.busy < e.allowedNow() {
 		e.open++
+		e.busy++
 		e.mutex.Unlock()
 		return e.dial(ctx)
 	}
 	turn := make(chan *connection, 1)
 	e.waiting = append(e.waiting, turn)
 	e.mutex.Unlock()
-	return e.await(ctx, turn)
+	return e.await(ctx, turn, sendBy)
 }
 
 // await waits for a connection to become free; a nil one is leave to open another.
-func (e *Exchanger) await(ctx context.Context, turn chan *connection) (*connection, error) {
+func (e *Exchanger) await(ctx context.Context, turn chan *connection, sendBy time.Time) (*connection, error) {
+	if !sendBy.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, sendBy)
+		defer cancel()
+	}
 	select {
 	case c := <-turn:
 		if c == nil {
@@ -241,26 +263,57 @@
 	if e.closed || e.open > int(e.limit.Load()) {
 		keep = false
 	}
-	switch {
-	case len(e.waiting) > 0:
-		turn := e.waiting[0]
-		e.waiting = e.waiting[1:]
-		if keep {
-			turn <- c
-		} else {
-			turn <- nil
-		}
-	case keep:
+	e.busy--
+	if keep {
 		e.idle = append(e.idle, c)
-	default:
+	} else {
 		e.open--
 	}
+	e.wakeLocked()
 	e.mutex.Unlock()
 	if !keep && c != nil {
 		_ = c.Close()
 	}
 }
 
+// wakeLocked gives connections, or leave to open one, to requests that wait.
+func (e *Exchanger) wakeLocked() {
+	for len(e.waiting) > 0 && e.busy < e.allowedNow() {
+		var c *connection
+		if last := len(e.idle) - 1; last >= 0 {
+			c = e.idle[last]
+			e.idle = e.idle[:last]
+		} else {
+			e.open++
+		}
+		e.busy++
+		e.waiting[0] <- c
+		e.waiting = e.waiting[1:]
+	}
+}
+
+// allowedNow returns how many requests may be under way now, at least 1.
+func (e *Exchanger) allowedNow() int {
+	return max(1, min(int(e.allowed), int(e.limit.Load())))
+}
+
+// Adapt takes note of whether an answer came so late that the leaf has more requests than it can answer in
+// time. Late answers lower the number of requests under way, others raise it slowly.
+func (e *Exchanger) Adapt(startedAt, now time.Time, late bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	limit := float64(e.limit.Load())
+	switch {
+	case !late:
+		e.allowed = min(limit, e.allowed+allowedStep)
+		e.wakeLocked()
+	case startedAt.After(e.loweredAt):
+		// Requests that began before the last cut could not know of it.
+		e.allowed = max(1, min(limit, e.allowed)*allowedCut)
+		e.loweredAt = now
+	}
+}
+
 // readable tells whether anything came on an idle connection, or its end.
 func (c *connection) readable() bool {
 	if c.reader.Buffered() > 0 {
