Send the newest waiting call first and none that comes too late

Change: the newest waiting call goes first; a call that can't be answered by the target is not sent when the answer can do without it; what is learnt of a leaf leaves out the wait before it.

--- a/internal/forward/gatherer/run.go
+++ b/internal/forward/gatherer/run.go
@@ -56,10 +56,14 @@
 		service string
 		budget  *budgeter.Budgeter
 		done    bool
+		// dropped is set when done without a part because it could not be in time.
+		dropped bool
 		// tried has the leaves that were called, in order.
 		tried []attempt
 		// ran is how many calls may have run at a leaf.
 		ran int
+		// rejected is how many calls the leaves turned away.
+		rejected int
 		// open is how many calls have not ended.
 		open int
 		// retry is set when a call has failed and another one is due.
@@ -180,6 +184,9 @@
 // sendAgain makes one more call of a shard if leaves, attempts and budget allow it.
 func (n *run) sendAgain(i int, now time.Time, take func() bool, count *int) {
 	s := &n.shards[i]
+	if s.ran+s.rejected == 0 {
+		take = always // nothing has reached the service yet
+	}
 	if s.ran >= n.request.Route.Attempts || len(s.tried) >= maxSends {
 		n.exhaust(s)
 		return
@@ -190,7 +197,9 @@
 		return
 	}
 	if !n.send(i) {
-		s.budget.Return()
+		if s.ran+s.rejected > 0 {
+			s.budget.Return()
+		}
 		if s.open == 0 {
 			n.exhaust(s)
 			return
@@ -201,6 +210,8 @@
 	*count++
 }
 
+func always() bool { return true }
+
 // exhaust ends the second sends of a shard.
 func (n *run) exhaust(s *shard) {
 	s.nextLook = time.Time{}
@@ -225,10 +236,29 @@
 	n.openCalls++
 	s.retry = false
 	s.nextLook = now.Add(n.hedgeDelay(expected))
-	go n.call(i, len(s.tried)-1, leaf)
+	go n.call(i, len(s.tried)-1, leaf, n.droppable())
 	return true
 }
 
+// droppable tells whether the answer can do without one more of the shards that have not answered. A call that
+// can't be answered in time then is not sent at all.
+func (n *run) droppable() bool {
+	lost := 0
+	for i := range n.shards {
+		if s := &n.shards[i]; s.dropped {
+			lost++
+		}
+	}
+	have := float64(len(n.shards) - lost - 1)
+	return have > 0 && have >= n.request.Route.MinCoverage*float64(len(n.shards)) &&
+		n.elapsed(time.Now()) < n.request.Target
+}
+
+// targetAt returns when an answer must leave to be in time.
+func (n *run) targetAt() time.Time {
+	return n.request.ArrivedAt.Add(n.request.Target - n.request.Spent)
+}
+
 // hedgeDelay returns how long the answer of a call may take before another leaf is tried.
 func (n *run) hedgeDelay(expected time.Duration) time.Duration {
 	target := float64(n.request.Route.TargetLatency)
@@ -238,7 +268,7 @@
 
 func (s *shard) hasTried(l *pooler.Leaf) bool {
 	for _, t := range s.tried {
-		if t.leaf.Entry().ID == l.Entry().ID {
+		if t.leaf != nil && t.leaf.Entry().ID == l.Entry().ID {
 			return true
 		}
 	}
@@ -246,14 +276,21 @@
 }
 
 // call makes one call on a goroutine of its own and reports its end.
-func (n *run) call(i, attempt int, leaf *pooler.Leaf) {
+func (n *run) call(i, attempt int, leaf *pooler.Leaf, droppable bool) {
 	startedAt := time.Now()
 	leaf.Scorer().Begin(startedAt)
 	sentAt := time.Time{}
-	reply, err := leaf.Exchanger().Do(n.ctx, n.wanted, n.request.Message, func() { sentAt = time.Now() })
+	message := n.request.Message
+	if droppable {
+		message.SendBy = n.targetAt().Add(-leaf.Scorer().Own(startedAt, n.typical))
+	}
+	reply, err := leaf.Exchanger().Do(n.ctx, n.wanted, message, func() { sentAt = time.Now() })
 	now := time.Now()
-	outcome := n.outcome(reply, err)
-	leaf.Scorer().End(startedAt, now, n.typical, outcome)
+	outcome, took := n.outcome(reply, err), time.Duration(0)
+	if !sentAt.IsZero() {
+		took = now.Sub(sentAt)
+	}
+	leaf.Scorer().End(startedAt, now, took, n.typical, outcome)
 	if !sentAt.IsZero() && (outcome == scorer.Success || outcome == scorer.Abandoned) {
 		late := float64(now.Sub(sentAt)) > lateShare*float64(n.request.Route.TargetLatency)
 		leaf.Exchanger().Adapt(sentAt, now, late)
@@ -288,7 +325,7 @@
 	switch {
 	case e.err != nil && errors.Is(e.err, exchanger.ErrNotSent):
 		s.ran--
-		n.failed(s, true)
+		n.notSent(s, e.attempt)
 	case e.err != nil:
 		n.failed(s, n.request.Route.Idempotent)
 	case e.reply.NotRun:
@@ -311,8 +348,23 @@
 	return r.Status < http.StatusInternalServerError && (r.Signature != "" || r.Status/100 != 2)
 }
 
+// notSent drops a shard whose call came too late to be sent, if the answer can do without it. Otherwise the
+// leaf may be tried once more.
+func (n *run) notSent(s *shard, attempt int) {
+	late := !time.Now().Before(n.targetAt().Add(-s.tried[attempt].leaf.Scorer().Own(time.Now(), n.typical)))
+	if late && s.open == 0 && n.droppable() {
+		s.done, s.dropped = true, true
+		return
+	}
+	if late {
+		s.tried[attempt].leaf = nil
+	}
+	n.failed(s, true)
+}
+
 func (n *run) rejected(s *shard, e event) {
 	s.ran--
+	s.rejected++
 	n.result.Rejections++
 	if e.reply.Status == http.StatusMisdirectedRequest {
 		leaf := s.tried[e.attempt].leaf
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -116,7 +116,7 @@
 		allowed float64
 		// loweredAt is when allowed was last cut.
 		loweredAt time.Time
-		// waiting has one channel for each request that waits for a connection, in order.
+		// waiting has one channel for each request that waits for a connection, the newest at the end.
 		waiting []chan *connection
 		closed  bool
 	}
@@ -287,8 +287,10 @@
 			e.open++
 		}
 		e.busy++
-		e.waiting[0] <- c
-		e.waiting = e.waiting[1:]
+		// The newest goes first: under overload the oldest would be answered just too late, one after the other.
+		last := len(e.waiting) - 1
+		e.waiting[last] <- c
+		e.waiting = e.waiting[:last]
 	}
 }
 
--- a/internal/upstream/scorer/scorer.go
+++ b/internal/upstream/scorer/scorer.go
@@ -71,8 +71,9 @@
 	s.open = append(s.open, now)
 }
 
-// End takes note of the end of a call that began at startedAt. typical is the usual time of such calls.
-func (s *Scorer) End(startedAt, now time.Time, typical time.Duration, o Outcome) {
+// End takes note of the end of a call that began at startedAt and was with the leaf for took. typical is the
+// usual time of such calls. A call that never reached the leaf teaches nothing but its failure.
+func (s *Scorer) End(startedAt, now time.Time, took, typical time.Duration, o Outcome) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for i, t := range s.open {
@@ -82,7 +83,7 @@
 		}
 	}
 	s.fade(now)
-	ratio := min(maxFactor, float64(now.Sub(startedAt))/float64(max(typical, time.Millisecond)))
+	ratio := min(maxFactor, float64(took)/float64(max(typical, time.Millisecond)))
 	switch o {
 	case Success:
 		s.factor += learnRate * (ratio - s.factor)
@@ -124,6 +125,14 @@
 	return expected + s.stall(now, base)
 }
 
+// Own returns the time that the leaf itself is expected to take for a call, without others before it.
+func (s *Scorer) Own(now time.Time, typical time.Duration) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.fade(now)
+	return time.Duration(float64(typical) * s.factor)
+}
+
 // Late returns the start of the oldest open call if it is so old that the leaf seems stalled.
 func (s *Scorer) Late(now time.Time, typical time.Duration) (time.Time, bool) {
 	s.mutex.Lock()
