Start without waiting for seeds one by one

Change: all seeds at once, a look each 20 ms, and a node that is no seed reads the store itself after 150 ms.

--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -31,9 +31,11 @@
 	// maxReaderRank bounds that, so that all nodes of a large fleet read when none hears of the store.
 	maxReaderRank = 6
 	// seedPause is how long a node that is no seed waits for the seeds to tell what they have read.
-	seedPause = time.Second
-	// joinPause is the time between two tries to get the first documents from other nodes.
-	joinPause = 300 * time.Millisecond
+	seedPause = 150 * time.Millisecond
+	// joinPause is the time between two looks whether the first documents have come.
+	joinPause = 20 * time.Millisecond
+	// seedPeriod is the time between two questions to the seeds.
+	seedPeriod = 300 * time.Millisecond
 	// freshShare of the time in which a configuration must be in force is how old its confirmation may be.
 	freshShare = 0.8
 )
@@ -195,24 +197,32 @@
 // join gets what the node needs from the store or from other nodes, and then joins the others.
 func (n *Node) join(ctx context.Context) {
 	go n.register(ctx)
-	for attempt := 0; !n.complete(); attempt++ {
-		seeds := n.otherSeeds()
-		if len(seeds) > 0 {
-			seed := seeds[attempt%len(seeds)]
-			if err := n.spreader.Pull(ctx, seed); err != nil {
-				n.config.Logger.Info("seed did not answer", "peer_address", seed, "error", err)
-			}
-		}
-		sleeper.Sleep(ctx, n.config.Clock, joinPause)
+	var asked time.Time
+	for ; !n.complete(); sleeper.Sleep(ctx, n.config.Clock, joinPause) {
 		if ctx.Err() != nil {
 			return
 		}
+		if now := n.config.Clock.Now(); now.Sub(asked) > seedPeriod {
+			asked = now
+			n.askSeeds(ctx)
+		}
 	}
 	n.ready.Store(true)
 	n.config.Logger.Info("node is ready", "after", n.config.Clock.Since(n.startedAt))
 	n.prober.Run(ctx)
 }
 
+// askSeeds asks other nodes, all at once, for what they know.
+func (n *Node) askSeeds(ctx context.Context) {
+	for _, seed := range n.otherSeeds() {
+		go func() {
+			if err := n.spreader.Pull(ctx, seed); err != nil {
+				n.config.Logger.Info("seed did not answer", "peer_address", seed, "error", err)
+			}
+		}()
+	}
+}
+
 // complete tells whether the node knows the configuration and the leaves.
 func (n *Node) complete() bool {
 	return n.matcher.Load() != nil && n.replicator.Position(n.config.Kinds.Leaves).Revision > 0
