Test the packages of the forwarding path

Found by TestAnswersOfLeaves: a connection on which an answer to another request had come was used again.

--- a/internal/records/replicator/replicator.go
+++ b/internal/records/replicator/replicator.go
@@ -60,7 +60,7 @@
 		position  Position
 		// deletedAt has when each tombstone was made.
 		deletedAt map[string]time.Time
-		// forgotten is the highest revision of a tombstone that was dropped.
+		// forgotten is the revision up to which deletions may be unknown.
 		forgotten int64
 	}
 )
@@ -90,6 +90,8 @@
 	}
 	r.apply(k, changes)
 	k.advance(revision, confirmedAt)
+	// A list does not tell of documents that came and went since the last position.
+	k.forgotten = max(k.forgotten, revision)
 }
 
 // ApplyChanges takes the documents that have changed since a position, up to a revision. It returns false
--- a/internal/upstream/exchanger/exchange.go
+++ b/internal/upstream/exchanger/exchange.go
@@ -26,14 +26,15 @@
 	// A leaf may answer and close before it has read the whole body, so an answer is looked for even when
 	// not everything could be written.
 	_, writeError := c.Write(e.message(r))
-	for range 1 + maxStrays {
+	strays := 0
+	for ; strays <= maxStrays; strays++ {
 		var mine bool
 		reply, keep, mine, err = e.read(c, r)
 		if err != nil || mine {
 			break
 		}
-		keep = false
 	}
+	keep = keep && strays == 0
 	if err == nil && reply == nil {
 		err = errors.New("only answers to other requests")
 	}
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -143,6 +143,11 @@
 	e.limit.Store(int64(max(1, limit)))
 }
 
+// Limit returns the largest number of open connections.
+func (e *Exchanger) Limit() int {
+	return int(e.limit.Load())
+}
+
 // Free tells whether a request could be sent now without waiting for a connection.
 func (e *Exchanger) Free() bool {
 	e.mutex.Lock()
--- /dev/null
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -0,0 +1,257 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
+)
+
+var names = exchanger.Names{ //nolint:gochecknoglobals // constant
+	RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign", NotRun: "Not-Run",
+}
+
+// leaf answers each request on a connection with the next of its scripts. A script may hold {id} for the id of
+// the request; "RST" at its end resets the connection and "FIN" closes it.
+type leaf struct {
+	listener    net.Listener
+	scripts     []string
+	requests    atomic.Int64
+	connections atomic.Int64
+	// seen has the last request.
+	seen atomic.Pointer[http.Request]
+	body atomic.Pointer[string]
+}
+
+func newLeaf(t *testing.T, scripts ...string) (*leaf, *exchanger.Exchanger) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &leaf{listener: listener, scripts: scripts}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			l.connections.Add(1)
+			go l.serve(c)
+		}
+	}()
+	e := exchanger.New(exchanger.Config{
+		Address: listener.Addr().String(), LeafID: "leaf-1", Names: names, MaxAnswerBytes: 1 << 16,
+	})
+	t.Cleanup(e.Close)
+	return l, e
+}
+
+func (l *leaf) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		text := string(body)
+		l.seen.Store(r)
+		l.body.Store(&text)
+		script := l.scripts[(int(l.requests.Add(1))-1)%len(l.scripts)]
+		script = strings.ReplaceAll(script, "{id}", r.Header.Get("Id"))
+		end := ""
+		for _, e := range []string{"RST", "FIN"} {
+			if s, ok := strings.CutSuffix(script, e); ok {
+				script, end = s, e
+			}
+		}
+		if delay, rest, ok := strings.Cut(script, "|"); ok {
+			d, _ := time.ParseDuration(delay)
+			time.Sleep(d)
+			script = rest
+		}
+		_, _ = io.WriteString(c, script)
+		switch end {
+		case "RST":
+			time.Sleep(20 * time.Millisecond) // lets the bytes before it arrive
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		case "FIN":
+			return
+		}
+	}
+}
+
+func request(id string) exchanger.Request {
+	return exchanger.Request{
+		Method: http.MethodGet, ID: id, Deadline: time.Now().Add(2 * time.Second),
+		Head: fmt.Appendf(nil, "GET /a//b?c=%%20 HTTP/1.1\r\nHost: h\r\nId: %s\r\n", id),
+	}
+}
+
+func do(t *testing.T, e *exchanger.Exchanger, id string) (*exchanger.Reply, error) {
+	return e.Do(t.Context(), t.Context(), request(id), func() {})
+}
+
+const good = "HTTP/1.1 200 OK\r\nId: {id}\r\nSign: s-{id}\r\nContent-Length: 4\r\n\r\nbody"
+
+func TestTheRequestArrivesUnchangedWithLeafAndTime(t *testing.T) {
+	is := is.New(t)
+	l, e := newLeaf(t, good)
+	r := request("r1")
+	r.Head = []byte("POST /a//b?c=%20 HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 5\r\n")
+	r.Method, r.Body = http.MethodPost, []byte("12345")
+	reply, err := e.Do(t.Context(), t.Context(), r, func() {})
+	is.NoErr(err)
+	is.Equal(string(reply.Body), "body")
+	is.Equal(reply.Signature, "s-r1")
+	seen := l.seen.Load()
+	is.Equal(seen.RequestURI, "/a//b?c=%20")
+	is.Equal(seen.Header.Get("Leaf"), "leaf-1")
+	is.True(seen.Header.Get("Left") > "1000" && seen.Header.Get("Left") <= "2000")
+	is.Equal(*l.body.Load(), "12345")
+}
+
+func TestAnswersOfLeaves(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		scripts []string
+		body    string // of the last request; empty when it fails
+		conns   int64  // after two requests
+	}{
+		{"kept connection", []string{good}, "body", 1},
+		{"close", []string{strings.Replace(good, "Sign", "Connection: close\r\nSign", 1)}, "body", 2},
+		{"bytes after a whole answer", []string{good + good, good}, "body", 2},
+		{"answer of another request first", []string{strings.Replace(good, "{id}", "old", 1) + good}, "body", 2},
+		{"only the answer of another request", []string{strings.Replace(good, "Id: {id}", "Id: old", 1) + "FIN"}, "", 2},
+		{"informational answer first", []string{"HTTP/1.1 103 Early Hints\r\n\r\n" + good}, "body", 1},
+		{"body ends early", []string{strings.Replace(good, "4", "9", 1) + "FIN"}, "", 2},
+		{"no length, ends with the connection", []string{strings.Replace(good, "Content-Length: 4\r\n", "", 1) + "FIN"}, "body", 2},
+		{"no length, reset", []string{strings.Replace(good, "Content-Length: 4\r\n", "", 1) + "RST"}, "", 2},
+		{"not an answer", []string{"garbage\r\n\r\nFIN"}, "", 2},
+		{"encoded", []string{strings.Replace(good, "Sign", "Content-Encoding: gzip\r\nSign", 1)}, "", 2},
+		{"chunked", []string{strings.Replace(strings.Replace(good, "Content-Length: 4", "Transfer-Encoding: chunked", 1),
+			"\r\nbody", "\r\n4\r\nbody\r\n0\r\n\r\n", 1)}, "body", 1},
+		{"too large", []string{strings.Replace(good, "4", "999999", 1) + "FIN"}, "", 2},
+		{"idle time over", []string{strings.Replace(good, "Sign", "Keep-Alive: timeout=0\r\nSign", 1)}, "body", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l, e := newLeaf(t, c.scripts...)
+			_, _ = do(t, e, "r1")
+			time.Sleep(30 * time.Millisecond) // what the leaf sends late has come
+			reply, err := do(t, e, "r2")
+			is.Equal(l.connections.Load(), c.conns)
+			is.Equal(l.requests.Load(), int64(2)) // nothing is sent twice unseen
+			if c.body == "" {
+				is.True(errors.Is(err, exchanger.ErrBroken))
+				return
+			}
+			is.NoErr(err)
+			is.Equal(string(reply.Body), c.body)
+			is.Equal(reply.Signature, "s-r2")
+		})
+	}
+}
+
+func TestWhatDidNotRunIsTold(t *testing.T) {
+	is := is.New(t)
+	_, e := newLeaf(t, "HTTP/1.1 503 Busy\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 500 Broken\r\nSign: s\r\nContent-Length: 0\r\n\r\n")
+	for _, want := range []bool{true, true, false} {
+		reply, err := do(t, e, "r")
+		is.NoErr(err)
+		is.Equal(reply.NotRun, want)
+	}
+	closed := exchanger.New(exchanger.Config{Address: "127.0.0.1:1", Names: names, MaxAnswerBytes: 1})
+	_, err := do(t, closed, "r")
+	is.True(errors.Is(err, exchanger.ErrNotSent))
+}
+
+func TestAConnectionThatTheLeafClosedIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	l, e := newLeaf(t, good+"FIN")
+	_, err := do(t, e, "r1")
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	_, err = do(t, e, "r2")
+	is.NoErr(err)
+	is.Equal(l.connections.Load(), int64(2))
+}
+
+func TestEndingTheContextClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	_, e := newLeaf(t, "2s|"+good)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	startedAt := time.Now()
+	_, err := e.Do(ctx, ctx, request("r"), func() {})
+	is.True(errors.Is(err, exchanger.ErrBroken))
+	is.True(time.Since(startedAt) < time.Second)
+}
+
+// The load: more requests than the one connection of a leaf can carry. The newest goes first, a request that has
+// lost its point is not sent, and one that nobody wants any more leaves the line.
+func TestRequestsThatWait(t *testing.T) {
+	is := is.New(t)
+	l, e := newLeaf(t, "60ms|"+good)
+	e.SetLimit(1)
+	order := make(chan string, 4)
+	start := func(id string, wanted context.Context, sendBy time.Time) {
+		r := request(id)
+		r.SendBy = sendBy
+		go func() {
+			if _, err := e.Do(t.Context(), wanted, r, func() {}); err != nil {
+				is.True(errors.Is(err, exchanger.ErrNotSent))
+				id += " not sent"
+			}
+			order <- id
+		}()
+		time.Sleep(5 * time.Millisecond)
+	}
+	unwanted, cancel := context.WithCancel(t.Context())
+	start("first", t.Context(), time.Time{})
+	start("old", t.Context(), time.Time{})
+	start("late", t.Context(), time.Now().Add(20*time.Millisecond))
+	start("unwanted", unwanted, time.Time{})
+	start("new", t.Context(), time.Time{})
+	cancel()
+	var got []string
+	for range 5 {
+		got = append(got, <-order)
+	}
+	is.Equal(got, []string{"unwanted not sent", "late not sent", "first", "new", "old"})
+	is.Equal(l.connections.Load(), int64(1))
+	is.Equal(l.requests.Load(), int64(3))
+}
+
+func TestLateAnswersLowerTheCallsUnderWay(t *testing.T) {
+	is := is.New(t)
+	_, e := newLeaf(t, "40ms|"+good)
+	e.SetLimit(4)
+	now := time.Now()
+	for i := range 12 {
+		at := now.Add(time.Duration(i) * time.Second)
+		e.Adapt(at, at.Add(100*time.Millisecond), true)
+	}
+	go func() { _, _ = do(t, e, "r") }()
+	time.Sleep(10 * time.Millisecond)
+	is.True(!e.Free()) // one call is left, and it is under way
+	for range 20 {
+		e.Adapt(now, now, false)
+	}
+	is.True(e.Free())
+}
