--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -90,6 +90,10 @@
 		Waiting []string
 		// Blocked is the number of second sends that the budget did not allow.
 		Blocked int
+		// Failed names the leaves whose calls failed, in order.
+		Failed []string
+		// NoLeaf names the services that had no leaf to call.
+		NoLeaf []string
 	}
 
 	// Gatherer runs requests. It is safe for concurrent use.
@@ -110,24 +114,27 @@
 
 // Run runs one request until it is answered or can't be.
 func (g *Gatherer) Run(ctx context.Context, r Request) Result {
-	if g.unservable(r) {
-		return Result{Outcome: OutcomeNotRun}
+	empty := g.withoutLeaves(r)
+	if usable := len(r.Services) - len(empty); usable == 0 ||
+		float64(usable) < r.Route.MinCoverage*float64(len(r.Services)) {
+		return Result{Outcome: OutcomeNotRun, NoLeaf: empty}
 	}
 	run := newRun(g, r)
+	run.result.NoLeaf = empty
 	defer run.finish()
 	run.start()
 	return run.loop(ctx)
 }
 
-// unservable tells whether so many shards have no leaf that no success is possible.
-func (g *Gatherer) unservable(r Request) bool {
-	usable := 0
+// withoutLeaves returns the services of the request that have no leaf to call.
+func (g *Gatherer) withoutLeaves(r Request) []string {
+	var empty []string
 	for _, s := range r.Services {
-		if g.config.Pool.Usable(s) > 0 {
-			usable++
+		if g.config.Pool.Usable(s) == 0 {
+			empty = append(empty, s)
 		}
 	}
-	return usable == 0 || float64(usable) < r.Route.MinCoverage*float64(len(r.Services))
+	return empty
 }
 
 // Budget returns the budget of a service.
--- a/internal/forward/gatherer/run.go
+++ b/internal/forward/gatherer/run.go
@@ -322,6 +322,9 @@
 	if s.done {
 		return
 	}
+	if e.err != nil || e.reply.NotRun || !n.good(e.reply) {
+		n.result.Failed = append(n.result.Failed, s.tried[e.attempt].leaf.Entry().ID)
+	}
 	switch {
 	case e.err != nil && errors.Is(e.err, exchanger.ErrNotSent):
 		s.ran--
--- a/internal/forward/server/answer.go
+++ b/internal/forward/server/answer.go
@@ -64,23 +64,18 @@
 		}
 		x.observeAnswer(r)
 	case gatherer.OutcomeNotRun:
-		x.log("not_run", http.StatusServiceUnavailable, r)
-		x.refuse("not_run", busyRetryAfter)
+		x.refuse("not_run", busyRetryAfter, r)
 	case gatherer.OutcomeTimeout:
-		x.log("timeout", http.StatusGatewayTimeout, r)
-		x.fail(http.StatusGatewayTimeout, "timeout")
+		x.fail(http.StatusGatewayTimeout, "timeout", r)
 	case gatherer.OutcomeGone:
-		x.log("caller_gone", 0, r)
-		x.observe("caller_gone")
+		x.note("caller_gone", 0, r)
 	case gatherer.OutcomeFailed:
 		if r.Failure != nil && len(x.route.Shards) == 0 {
-			x.log("leaf_failure", r.Failure.Status, r)
 			x.writeReply(r.Failure)
-			x.observe("leaf_failure")
+			x.note("leaf_failure", r.Failure.Status, r)
 			return
 		}
-		x.log("failed", http.StatusBadGateway, r)
-		x.fail(http.StatusBadGateway, "failed")
+		x.fail(http.StatusBadGateway, "failed", r)
 	}
 }
 
@@ -96,6 +91,12 @@
 	x.observe(outcome)
 }
 
+// note counts and logs how a request ended.
+func (x *exchange) note(outcome string, status int, r gatherer.Result) {
+	x.log(outcome, status, r)
+	x.observe(outcome)
+}
+
 // writeParts writes the greatest records of all parts.
 func (x *exchange) writeParts(r gatherer.Result) {
 	records := merger.New(x.route.TopRecords)
@@ -142,30 +143,28 @@
 func (x *exchange) noRoute(version int64) {
 	x.version = version
 	if !x.server.config.Fresh() {
-		x.refuse("configuration_not_fresh", startingRetryAfter)
+		x.refuse("configuration_not_fresh", startingRetryAfter, gatherer.Result{})
 		return
 	}
-	x.fail(http.StatusNotFound, "no_route")
+	x.fail(http.StatusNotFound, "no_route", gatherer.Result{})
 }
 
 // refuse answers that the request has not run and when to come back.
-func (x *exchange) refuse(reason string, after time.Duration) {
+func (x *exchange) refuse(outcome string, after time.Duration, r gatherer.Result) {
 	after += time.Duration(x.server.config.Random() * float64(after))
 	x.writer.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
-	x.fail(http.StatusServiceUnavailable, reason)
+	x.fail(http.StatusServiceUnavailable, outcome, r)
 }
 
 // fail answers with a status of this node.
-func (x *exchange) fail(status int, reason string) {
+func (x *exchange) fail(status int, outcome string, r gatherer.Result) {
 	h := x.writer.Header()
 	if x.id != "" {
 		h.Set(x.server.config.Names.RequestID, x.id)
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	x.writeBody(status, []byte("stepfront: "+reason+"\n"))
-	x.server.config.Logger.Info("request rejected", "request_id", x.id, "route", x.routeName(), "status", status,
-		"reason", reason, "config_version", x.version, "took", time.Since(x.arrivedAt).Round(time.Microsecond))
-	x.observe(reason)
+	x.writeBody(status, []byte("stepfront: "+outcome+"\n"))
+	x.note(outcome, status, r)
 }
 
 func (x *exchange) observe(outcome string) {
@@ -184,6 +183,7 @@
 	x.server.config.Logger.Info("request", "request_id", x.id, "route", x.routeName(), "outcome", outcome,
 		"status", status, "config_version", x.version, "parts", len(r.Parts), "shards", len(x.services),
 		"hedges", r.Hedges, "retries", r.Retries, "rejections", r.Rejections, "budget_blocked", r.Blocked,
-		"waiting_for", strings.Join(r.Waiting, ","), "time_left", x.left,
+		"failed_leaves", strings.Join(r.Failed, ","), "waiting_for", strings.Join(r.Waiting, ","),
+		"no_leaf", strings.Join(r.NoLeaf, ","), "time_left", x.left,
 		"took", time.Since(x.arrivedAt).Round(time.Microsecond))
 }
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -111,7 +111,7 @@
 	}
 	m := s.config.Matcher()
 	if m == nil {
-		x.refuse("no_configuration", startingRetryAfter)
+		x.refuse("no_configuration", startingRetryAfter, gatherer.Result{})
 		return
 	}
 	route := m.Match(r.Host, r.RequestURI)
@@ -155,10 +155,10 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		x.fail(http.StatusRequestEntityTooLarge, "body_too_large")
+		x.fail(http.StatusRequestEntityTooLarge, "body_too_large", gatherer.Result{})
 	} else {
 		x.writer.Header().Set("Connection", "close")
-		x.fail(http.StatusBadRequest, "body_not_read")
+		x.fail(http.StatusBadRequest, "body_not_read", gatherer.Result{})
 	}
 	return nil, false
 }
--- a/internal/upstream/scorer/scorer_test.go
+++ b/internal/upstream/scorer/scorer_test.go
@@ -50,7 +50,7 @@
 		for range 8 {
 			now = call(s, now, c.took, c.o)
 		}
-		is.True(s.Expected(now, typical, slots) > 4*typical)                      // avoided
+		is.True(s.Expected(now, typical, slots) > 4*typical)                     // avoided
 		is.True(s.Expected(now.Add(20*time.Second), typical, slots) < 2*typical) // forgotten
 	}
 }
