Let few large nodes serve callers; link large fleets sparsely; read settings again

Change: the directory names the nodes that are about as large as the largest; connections and budgets are shared among those. Above 12 nodes a node links to five others in a ring and news is passed on. SIGHUP and silent changes of the settings file are taken. Nodes register in the store only if they serve, and look there only when they know no other.

--- a/internal/forward/budgeter/budgeter.go
+++ b/internal/forward/budgeter/budgeter.go
@@ -31,7 +31,8 @@
 
 	// Budgeter is one node's budget for one service. It is safe for concurrent use.
 	Budgeter struct {
-		config Config
+		// config returns the bound in force.
+		config func() Config
 		mutex  sync.Mutex
 		// tokens is at least 0 and at most the depth for the present number of nodes.
 		tokens float64
@@ -39,9 +40,9 @@
 	}
 )
 
-// New returns an empty Budgeter.
-func New(c Config) *Budgeter {
-	return &Budgeter{config: c, nodes: 1}
+// New returns an empty Budgeter. config returns the bound in force.
+func New(config func() Config) *Budgeter {
+	return &Budgeter{config: config, nodes: 1}
 }
 
 // Earn takes note of one request, with the number of nodes that share the budget.
@@ -49,7 +50,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.nodes = max(1, nodes)
-	b.tokens = min(b.tokens+b.config.Share*shareMargin, b.depth())
+	b.tokens = min(b.tokens+b.config().Share*shareMargin, b.depth())
 }
 
 // TakeHedge takes leave to send a request once more that has not failed.
@@ -93,5 +94,5 @@
 }
 
 func (b *Budgeter) depth() float64 {
-	return max(minDepth, b.config.Slack*slackMargin/float64(b.nodes))
+	return max(minDepth, b.config().Slack*slackMargin/float64(b.nodes))
 }
--- a/internal/forward/budgeter/budgeter_test.go
+++ b/internal/forward/budgeter/budgeter_test.go
@@ -15,6 +15,8 @@
 	windowSeconds = 10
 )
 
+func bound() budgeter.Config { return budgeter.Config{Share: share, Slack: slack} }
+
 // The load: nodes that take every second send they may, start anew now and then, join and leave. In no window
 // may all of them together exceed the share of the requests plus the slack.
 func TestAllNodesStayWithinTheBudgetOfAnyWindow(t *testing.T) {
@@ -24,7 +26,7 @@
 		nodes := 3 + random.IntN(8)
 		budgets := make([]*budgeter.Budgeter, 12)
 		for i := range budgets {
-			budgets[i] = budgeter.New(budgeter.Config{Share: share, Slack: slack})
+			budgets[i] = budgeter.New(bound)
 		}
 		var requests, sends []int
 		for second := range 60 {
@@ -33,7 +35,7 @@
 				nodes = 3 + random.IntN(8)
 			}
 			if random.IntN(4) == 0 {
-				budgets[random.IntN(nodes)] = budgeter.New(budgeter.Config{Share: share, Slack: slack})
+				budgets[random.IntN(nodes)] = budgeter.New(bound)
 			}
 			for range random.IntN(200) {
 				b := budgets[random.IntN(nodes)]
@@ -56,7 +58,7 @@
 
 func TestHedgesLeaveRoomForRetries(t *testing.T) {
 	is := is.New(t)
-	b := budgeter.New(budgeter.Config{Share: share, Slack: slack})
+	b := budgeter.New(bound)
 	is.True(!b.TakeRetry()) // a node that has just started has earned nothing
 	for range 1000 {
 		b.Earn(4)
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -50,8 +50,8 @@
 	// Config holds what a Gatherer needs.
 	Config struct {
 		Pool Pool
-		// Budget is the bound on second sends, from the settings.
-		Budget budgeter.Config
+		// Budget returns the bound on second sends, from the settings.
+		Budget func() budgeter.Config
 		// Nodes returns the number of live nodes, which share the budgets.
 		Nodes func() int
 		// Stalled is told of a leaf whose open call is late, and since when; nil means nobody is.
--- a/internal/forward/gatherer/gatherer_test.go
+++ b/internal/forward/gatherer/gatherer_test.go
@@ -79,7 +79,7 @@
 		b.pool.Put(pooler.Entry{ID: key, Service: service, Address: s.Listener.Addr().String(), Zone: zone, Slots: 4}, time.Now())
 	}
 	b.gatherer = gatherer.New(gatherer.Config{
-		Pool: b.pool, Budget: budgeter.Config{Share: 1, Slack: 4}, Nodes: func() int { return 1 },
+		Pool: b.pool, Budget: func() budgeter.Config { return budgeter.Config{Share: 1, Slack: 4} }, Nodes: func() int { return 1 },
 	})
 	return b
 }
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -13,6 +13,7 @@
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/pooler"
+	"github.com/magnoliastep/magnoliastep/internal/view/linker"
 	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
 )
 
@@ -33,8 +34,8 @@
 	stallTime = 150 * time.Millisecond
 	// stallPause is the time between two reports of the same leaf.
 	stallPause = 60 * time.Millisecond
-	// maxStallPeers bounds the nodes that one report goes to.
-	maxStallPeers = 24
+	// keptLinks is how many links to other nodes stay open when idle; a node needs about seven in a large fleet.
+	keptLinks = 16
 )
 
 // stall is a leaf with an open call that is late.
@@ -67,31 +68,43 @@
 	return &pb.Member{
 		Name: n.config.NodeName, AvailabilityZone: n.config.AvailabilityZone, Region: n.config.Region,
 		PeerAddress: n.config.PeerAddress, CallerAddress: n.config.CallerAddress,
-		State: pb.MemberState_MEMBER_STATE_ALIVE, Incarnation: 1, StartedAt: n.startedAt.UnixNano(),
+		State: pb.MemberState_MEMBER_STATE_ALIVE, Incarnation: 1,
+		Capacity: uint32(max(0, n.config.CPUShare) * 1000), StartedAt: n.startedAt.UnixNano(),
 	}
 }
 
 func (n *Node) otherSeeds() []string {
-	return slices.DeleteFunc(slices.Clone(n.config.SeedPeers), func(a string) bool { return a == n.config.PeerAddress })
+	return slices.DeleteFunc(slices.Clone(n.bounds.Load().SeedPeers), func(a string) bool { return a == n.config.PeerAddress })
 }
 
-// otherPeers returns the peer addresses of the other live nodes in random order.
-func (n *Node) otherPeers() []string {
-	var addresses []string
+// linkedPeers returns the peer addresses of the nodes that this one keeps links to, in random order.
+func (n *Node) linkedPeers() []string {
+	addresses := map[string]string{}
+	var names []string
 	for _, m := range n.prober.Members() {
-		if m.GetName() != n.config.NodeName {
-			addresses = append(addresses, m.GetPeerAddress())
-		}
+		addresses[m.GetName()] = m.GetPeerAddress()
+		names = append(names, m.GetName())
+	}
+	var linked []string
+	for _, name := range linker.Choose(names, n.config.NodeName) {
+		linked = append(linked, addresses[name])
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses
+	rand.Shuffle(len(linked), func(i, j int) { linked[i], linked[j] = linked[j], linked[i] })
+	return linked
 }
 
-// liveNodes returns the number of live nodes and keeps the shares of connections in step with it.
-func (n *Node) liveNodes() int {
-	nodes := max(1, len(n.prober.Members()))
-	n.pooler.SetNodes(nodes)
-	return nodes
+// servingNodes returns the number of nodes that serve callers, this one included, and keeps the shares of
+// connections in step with it.
+func (n *Node) servingNodes() int {
+	if generation := n.prober.Generation(); n.serving.generation.Swap(generation) != generation {
+		count, included := n.namer.Serving(n.config.NodeName)
+		if !included {
+			count++ // callers that have an old answer still come here
+		}
+		n.serving.count.Store(int64(count))
+		n.pooler.SetNodes(count)
+	}
+	return int(max(1, n.serving.count.Load()))
 }
 
 // coldShare returns which part of a cold leaf's rate this node may use. In a large fleet only a few nodes, the
@@ -140,8 +153,11 @@
 
 func (n *Node) sendStall(ctx context.Context, s stall, now time.Time) {
 	message := &pb.LeafStalls{Stalls: []*pb.LeafStall{{LeafId: s.leafID, Age: durationpb.New(now.Sub(s.since))}}}
-	peers := n.otherPeers()
-	for _, address := range peers[:min(len(peers), maxStallPeers)] {
+	for _, m := range n.namer.ServingMembers() {
+		address := m.GetPeerAddress()
+		if m.GetName() == n.config.NodeName {
+			continue
+		}
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, stallTime)
 			defer cancel()
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/enroller"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/pooler"
+	"github.com/magnoliastep/magnoliastep/internal/view/linker"
 	"github.com/magnoliastep/magnoliastep/internal/view/prober"
 )
 
@@ -63,13 +64,8 @@
 		Configuration, Leaves, Evacuations, Nodes string
 	}
 
-	// Config holds what a Node needs.
-	Config struct {
-		NodeName         string
-		AvailabilityZone string
-		Region           string
-		// Addresses are IP and port each. Metrics may be empty.
-		CallerAddress, ReadinessAddress, PeerAddress, DirectoryAddress, MetricsAddress string
+	// Bounds are the settings that may change while a node runs.
+	Bounds struct {
 		// SeedPeers are peer addresses that may be out of date.
 		SeedPeers []string
 		// RetryShare and RetrySlack bound the second sends of all nodes to a service.
@@ -80,10 +76,25 @@
 		StopTime time.Duration
 		// ConfigurationTime is how soon a configuration must be in force.
 		ConfigurationTime time.Duration
-		Store             Store
-		Decoder           Decoder
-		Kinds             Kinds
-		Names             server.Names
+	}
+
+	// Config holds what a Node needs.
+	Config struct {
+		NodeName         string
+		AvailabilityZone string
+		Region           string
+		// Addresses are IP and port each. Metrics may be empty.
+		CallerAddress, ReadinessAddress, PeerAddress, DirectoryAddress, MetricsAddress string
+		// CPUShare is the cores that the VM has.
+		CPUShare float64
+		// FirstStart is set when all nodes start for the first time: there is time to let few of them read the store.
+		FirstStart bool
+		// Bounds may change while the node runs.
+		Bounds  Bounds
+		Store   Store
+		Decoder Decoder
+		Kinds   Kinds
+		Names   server.Names
 		// DirectoryHandler and ReadinessHandler speak to callers and to the platform.
 		DirectoryHandler func(n *namer.Namer, ready func() bool) http.Handler
 		ReadinessHandler func(ready func() bool) http.Handler
@@ -95,6 +106,7 @@
 	// Node is one node. All its parts run from Run to the end of its context.
 	Node struct {
 		config     Config
+		bounds     atomic.Pointer[Bounds]
 		startedAt  time.Time
 		matcher    atomic.Pointer[matcher.Matcher]
 		stopping   atomic.Bool
@@ -112,6 +124,11 @@
 		mutex      sync.Mutex
 		// evacuated has the zones that are out of service.
 		evacuated map[string]bool
+		// serving is what was last known of the nodes that serve callers.
+		serving struct {
+			generation atomic.Uint64
+			count      atomic.Int64
+		}
 		// stalls has leaves that other nodes are to be told of.
 		stalls chan stall
 	}
@@ -120,6 +137,7 @@
 // New assembles a node that does nothing yet.
 func New(c Config) *Node {
 	n := &Node{config: c, startedAt: c.Clock.Now(), evacuated: map[string]bool{}, stalls: make(chan stall, maxStalls)}
+	n.bounds.Store(&c.Bounds)
 	n.assembleFleet()
 	n.assembleLeaves()
 	n.assembleRecords()
@@ -135,13 +153,15 @@
 	c := n.config
 	n.messenger = messenger.New(messenger.Config{
 		NodeName: c.NodeName, Handler: n, Logger: c.Logger, Dial: dialPeer,
-		Digest: func() uint64 { return 0 }, ObserveDigest: func(string, uint64) {},
+		KeptLinks: keptLinks,
+		Digest:    func() uint64 { return 0 }, ObserveDigest: func(string, uint64) {},
 	})
 	n.prober = prober.New(prober.Config{
 		Self: n.self(), Messenger: n.messenger, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
 		Asserter:    asserter.New(asserter.Config{Logger: c.Logger}),
 		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		ProbePeriod: probePeriod, ProbeTimeout: probeTimeout, SuspicionPeriod: suspicionPeriod,
+		Targets:   func(names []string) []string { return linker.Choose(names, c.NodeName) },
 		SeedPeers: n.otherSeeds(), Load: func() uint32 { return uint32(n.server.InProgress()) }, Dead: n.messenger.Drop,
 	})
 }
@@ -154,10 +174,10 @@
 		Connected: connections.Inc, Random: rand.Float64, Logger: c.Logger,
 	})
 	n.enroller = enroller.New(enroller.Config{
-		Pool: n.pooler, DrainTime: c.DrainTime, Clock: c.Clock, Logger: c.Logger,
+		Pool: n.pooler, DrainTime: func() time.Duration { return n.bounds.Load().DrainTime }, Clock: c.Clock, Logger: c.Logger,
 	})
 	n.gatherer = gatherer.New(gatherer.Config{
-		Pool: n.pooler, Budget: budgeter.Config{Share: c.RetryShare, Slack: c.RetrySlack}, Nodes: n.liveNodes,
+		Pool: n.pooler, Budget: n.budget, Nodes: n.servingNodes,
 		Stalled: n.reportStall,
 		Misdirected: func(l *pooler.Leaf) {
 			c.Logger.Info("leaf answered for another", "leaf", l.Entry().ID, "address", l.Entry().Address)
@@ -165,6 +185,20 @@
 	})
 }
 
+// Reload takes bounds that have changed.
+func (n *Node) Reload(b Bounds) {
+	old := n.bounds.Swap(&b)
+	n.config.Logger.Info("settings reloaded", "seeds", len(b.SeedPeers), "retry_share", b.RetryShare,
+		"retry_slack", b.RetrySlack, "drain_time", b.DrainTime, "stop_time", b.StopTime,
+		"configuration_time", b.ConfigurationTime, "former_seeds", len(old.SeedPeers))
+	n.prober.AddCandidates(n.otherSeeds())
+}
+
+func (n *Node) budget() budgeter.Config {
+	b := n.bounds.Load()
+	return budgeter.Config{Share: b.RetryShare, Slack: b.RetrySlack}
+}
+
 // Run works until the context ends, and then stops as planned. It returns the first error of a server.
 func (n *Node) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -13,6 +13,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/spreader"
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/pooler"
+	"github.com/magnoliastep/magnoliastep/internal/view/linker"
 	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
 )
 
@@ -20,9 +21,12 @@
 	// watchWait is how long one watch of configuration and leaves waits for a change. A watch that the store has
 	// forgotten is noticed when it is over, so it is well below the time in which a change must be in force.
 	watchWait = time.Second
-	// evacuationWait and nodeWait are longer: evacuations have more time, and nodes find each other by rumours.
+	// evacuationWait is longer: evacuations have more time.
 	evacuationWait = 2500 * time.Millisecond
-	nodeWait       = 20 * time.Second
+	// lonelyPeriod is the time between two looks into the store for other nodes while none is known.
+	lonelyPeriod = 2 * time.Second
+	// registerPause is the time after which a node registers: the view is whole by then.
+	registerPause = 3 * time.Second
 	// readerAge is how old the confirmation of what this node knows may be, beyond the wait of a watch, before it
 	// reads the store itself.
 	readerAge = 600 * time.Millisecond
@@ -32,6 +36,8 @@
 	maxReaderRank = 6
 	// seedPause is how long a node that is no seed waits for the seeds to tell what they have read.
 	seedPause = 150 * time.Millisecond
+	// firstSeedPause is that time at the first start of all nodes.
+	firstSeedPause = 2 * time.Second
 	// joinPause is the time between two looks whether the first documents have come.
 	joinPause = 20 * time.Millisecond
 	// seedPeriod is the time between two questions to the seeds.
@@ -51,19 +57,19 @@
 func (n *Node) assembleRecords() {
 	c := n.config
 	n.replicator = replicator.New(replicator.Config{Clock: c.Clock, Changed: n.documentChanged})
-	kinds := []string{c.Kinds.Configuration, c.Kinds.Leaves, c.Kinds.Evacuations, c.Kinds.Nodes}
+	kinds := []string{c.Kinds.Configuration, c.Kinds.Leaves, c.Kinds.Evacuations}
 	n.spreader = spreader.New(spreader.Config{
-		Kinds: kinds, PeerAddress: c.PeerAddress, Messenger: n.messenger, Replica: n.replicator, Peers: n.otherPeers,
-		Clock: c.Clock, Logger: c.Logger,
+		Kinds: kinds, PeerAddress: c.PeerAddress, Messenger: n.messenger, Replica: n.replicator, Peers: n.linkedPeers,
+		Forward: func() bool { return !linker.Small(len(n.prober.Members())) },
+		Clock:   c.Clock, Logger: c.Logger,
 		Learned: func(from string, documents int) {
 			c.Logger.Info("documents learned from a node", "from", from, "documents", documents)
 		},
 	})
-	waits := map[string]time.Duration{c.Kinds.Evacuations: evacuationWait, c.Kinds.Nodes: nodeWait}
 	for _, k := range kinds {
-		wait := waits[k]
-		if wait == 0 {
-			wait = watchWait
+		wait := watchWait
+		if k == c.Kinds.Evacuations {
+			wait = evacuationWait
 		}
 		n.watchers = append(n.watchers, watcher.New(watcher.Config{
 			Kind: k, Store: c.Store, Replica: &announcer{Replicator: n.replicator, announce: n.spreader.Announce},
@@ -77,7 +83,11 @@
 func (n *Node) readsStore(kind string, wait time.Duration) bool {
 	position := n.replicator.Position(kind)
 	if position.Revision == 0 {
-		return n.isSeed() || n.config.Clock.Since(n.startedAt) > seedPause
+		pause := seedPause
+		if n.config.FirstStart {
+			pause = firstSeedPause
+		}
+		return n.isSeed() || n.config.Clock.Since(n.startedAt) > pause
 	}
 	rank := maxReaderRank
 	for i, m := range ranker.New(n.prober.Members()).Leading(ranker.Key{Name: readerKey + kind}, maxReaderRank) {
@@ -91,7 +101,7 @@
 }
 
 func (n *Node) isSeed() bool {
-	return len(n.config.SeedPeers) == 0 || slices.Contains(n.config.SeedPeers, n.config.PeerAddress)
+	return len(n.bounds.Load().SeedPeers) == 0 || slices.Contains(n.bounds.Load().SeedPeers, n.config.PeerAddress)
 }
 
 // announcer tells other nodes what came from the store.
@@ -122,8 +132,6 @@
 		n.leafChanged(d, confirmedBefore)
 	case n.config.Kinds.Evacuations:
 		n.evacuationChanged(d)
-	case n.config.Kinds.Nodes:
-		n.nodeChanged(d)
 	}
 }
 
@@ -180,10 +188,24 @@
 	n.config.Logger.Info("zone evacuation changed", "zone", d.Name, "out_of_service", !d.Deleted, "revision", d.Revision)
 }
 
-func (n *Node) nodeChanged(d replicator.Document) {
-	if d.Deleted {
-		return
+// findNodes looks into the store for other nodes as long as none is known: seeds may be out of date.
+func (n *Node) findNodes(ctx context.Context) {
+	for ; ctx.Err() == nil; sleeper.Sleep(ctx, n.config.Clock, lonelyPeriod) {
+		if n.prober.Joined() || n.config.Clock.Since(n.startedAt) < lonelyPeriod {
+			continue
+		}
+		documents, _, err := n.config.Store.List(ctx, n.config.Kinds.Nodes)
+		if err != nil {
+			n.config.Logger.Info("no other node is known and the store does not answer", "error", err)
+			continue
+		}
+		for _, d := range documents {
+			n.addCandidate(d)
+		}
 	}
+}
+
+func (n *Node) addCandidate(d replicator.Document) {
 	var r nodeRecord
 	if err := json.Unmarshal(d.Data, &r); err != nil || r.PeerAddress == "" {
 		n.config.Logger.Warn("node record is not usable", "node", d.Name, "error", err)
@@ -196,7 +218,7 @@
 
 // join gets what the node needs from the store or from other nodes, and then joins the others.
 func (n *Node) join(ctx context.Context) {
-	go n.register(ctx)
+	go n.findNodes(ctx)
 	var asked time.Time
 	for ; !n.complete(); sleeper.Sleep(ctx, n.config.Clock, joinPause) {
 		if ctx.Err() != nil {
@@ -209,6 +231,7 @@
 	}
 	n.ready.Store(true)
 	n.config.Logger.Info("node is ready", "after", n.config.Clock.Since(n.startedAt))
+	go n.register(ctx)
 	n.prober.Run(ctx)
 }
 
@@ -228,21 +251,28 @@
 	return n.matcher.Load() != nil && n.replicator.Position(n.config.Kinds.Leaves).Revision > 0
 }
 
-// register writes this node's address into the store, so that nodes which start later find it.
+// register writes this node's address into the store if it serves callers, so that nodes which start later find
+// one when all seeds are gone.
 func (n *Node) register(ctx context.Context) {
 	data, err := json.Marshal(nodeRecord{PeerAddress: n.config.PeerAddress})
-	for err == nil && ctx.Err() == nil {
+	if err != nil {
+		n.config.Logger.Error("node record can't be encoded", "error", err)
+		return
+	}
+	for sleeper.Sleep(ctx, n.config.Clock, registerPause); ctx.Err() == nil; sleeper.Sleep(ctx, n.config.Clock, registerPause) {
+		if _, serves := n.namer.Serving(n.config.NodeName); !serves {
+			continue
+		}
 		failure := n.config.Store.Put(ctx, n.config.Kinds.Nodes, n.config.NodeName, data)
 		if failure == nil {
 			return
 		}
 		n.config.Logger.Info("node not registered yet", "error", failure)
-		sleeper.Sleep(ctx, n.config.Clock, time.Second)
 	}
 }
 
 // fresh tells whether the configuration in force was confirmed so lately that no newer one can be due.
 func (n *Node) fresh() bool {
 	age := n.config.Clock.Since(n.replicator.Position(n.config.Kinds.Configuration).ConfirmedAt)
-	return age < time.Duration(freshShare*float64(n.config.ConfigurationTime))
+	return age < time.Duration(freshShare*float64(n.bounds.Load().ConfigurationTime))
 }
--- a/internal/node/forwarder/serve.go
+++ b/internal/node/forwarder/serve.go
@@ -57,8 +57,8 @@
 	n.config.Logger.Info("stop began", "in_progress", n.server.InProgress())
 	n.prober.Leave()
 	go n.prober.Announce(ctx)
-	sleeper.Sleep(ctx, n.config.Clock, time.Duration(serveShare*float64(n.config.StopTime)))
-	finish, cancel := context.WithTimeout(ctx, time.Duration((finishShare-serveShare)*float64(n.config.StopTime)))
+	sleeper.Sleep(ctx, n.config.Clock, time.Duration(serveShare*float64(n.bounds.Load().StopTime)))
+	finish, cancel := context.WithTimeout(ctx, time.Duration((finishShare-serveShare)*float64(n.bounds.Load().StopTime)))
 	defer cancel()
 	for i := range servers {
 		if err := servers[i].Shutdown(finish); err != nil {
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -67,8 +67,10 @@
 		// ObserveDigest is told the digest on every frame received. It must not block.
 		ObserveDigest func(from string, digest uint64)
 		// Dial connects to a peer address; nil means TCP.
-		Dial   func(ctx context.Context, address string) (net.Conn, error)
-		Logger *slog.Logger
+		Dial func(ctx context.Context, address string) (net.Conn, error)
+		// KeptLinks are kept open however idle they are; zero means 64.
+		KeptLinks int
+		Logger    *slog.Logger
 	}
 
 	// Messenger holds the links to all peers. It is safe for concurrent use.
@@ -97,6 +99,9 @@
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
+	if c.KeptLinks == 0 {
+		c.KeptLinks = keptLinks
+	}
 	return &Messenger{
 		config:   c,
 		links:    map[string]*link{},
@@ -250,7 +255,7 @@
 
 // closeIdleLocked bounds the links: a large fleet is probed member by member, each over a link of its own.
 func (m *Messenger) closeIdleLocked() {
-	if len(m.links) < keptLinks {
+	if len(m.links) < m.config.KeptLinks {
 		return
 	}
 	before := time.Now().Add(-idlePeriod).UnixNano()
--- a/internal/records/spreader/spreader.go
+++ b/internal/records/spreader/spreader.go
@@ -23,6 +23,8 @@
 	noticePeriod = 500 * time.Millisecond
 	// noticePeers is how many nodes get a notice without news.
 	noticePeers = 2
+	// forwardAge is how much newer a confirmation must be to be passed on.
+	forwardAge = 300 * time.Millisecond
 	// callTimeout bounds one pull.
 	callTimeout = 800 * time.Millisecond
 )
@@ -50,9 +52,11 @@
 		PeerAddress string
 		Messenger   Messenger
 		Replica     Replica
-		// Peers returns the peer addresses of the other live nodes, in a new order each time.
+		// Peers returns the peer addresses of the nodes to tell, in a new order each time.
 		Peers func() []string
-		Clock quartz.Clock
+		// Forward tells whether these nodes are not all, so that news from other nodes has to be passed on.
+		Forward func() bool
+		Clock   quartz.Clock
 		// Learned is told when documents came from another node.
 		Learned func(from string, documents int)
 		Logger  *slog.Logger
@@ -100,15 +104,19 @@
 
 // HandleNotice takes what another node knows and asks it for what this node lacks.
 func (s *Spreader) HandleNotice(ctx context.Context, from string, n *pb.DocumentNotice) {
-	behind := false
+	behind, confirmed := false, false
 	for _, p := range n.GetPositions() {
 		known := s.config.Replica.Position(p.GetKind())
-		switch {
-		case p.GetRevision() > known.Revision:
+		if p.GetRevision() > known.Revision {
 			behind = true
-		default:
-			s.config.Replica.Confirm(p.GetKind(), known.Revision, s.confirmedAt(p, known.Revision))
+			continue
 		}
+		at := s.confirmedAt(p, known.Revision)
+		confirmed = confirmed || at.Sub(known.ConfirmedAt) > forwardAge
+		s.config.Replica.Confirm(p.GetKind(), known.Revision, at)
+	}
+	if confirmed && s.config.Forward() {
+		s.Announce()
 	}
 	if !behind || !s.begin(n.GetPeerAddress()) {
 		return
@@ -178,6 +186,9 @@
 			s.config.Replica.ApplyChanges(kind, after[kind], byKind[kind], p.GetRevision(), confirmedAt)
 		}
 	}
+	if len(m.GetPositions()) > 0 && s.config.Forward() {
+		s.Announce()
+	}
 	if len(m.GetDocuments()) > 0 {
 		s.config.Learned(from, len(m.GetDocuments()))
 	}
--- a/internal/records/watcher/watcher.go
+++ b/internal/records/watcher/watcher.go
@@ -65,6 +65,8 @@
 		config Config
 		// failing is set while the store does not answer.
 		failing bool
+		// reading is set while this node reads the store.
+		reading bool
 		since   time.Time
 	}
 )
@@ -78,7 +80,12 @@
 func (w *Watcher) Run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
-		if !w.config.Due() {
+		if due := w.config.Due(); due != w.reading {
+			w.reading = due
+			w.config.Logger.Info("store reader changed", "kind", w.config.Kind, "reads", due,
+				"unconfirmed_for", w.config.Clock.Since(w.config.Replica.Position(w.config.Kind).ConfirmedAt))
+		}
+		if !w.reading {
 			sleeper.Sleep(ctx, w.config.Clock, idlePause)
 			continue
 		}
--- a/internal/upstream/enroller/enroller.go
+++ b/internal/upstream/enroller/enroller.go
@@ -37,8 +37,8 @@
 	// Config holds what an Enroller needs.
 	Config struct {
 		Pool Pool
-		// DrainTime is how long a leaf that leaves goes on serving after its entry has vanished.
-		DrainTime time.Duration
+		// DrainTime returns how long a leaf that leaves goes on serving after its entry has vanished.
+		DrainTime func() time.Duration
 		Clock     quartz.Clock
 		Logger    *slog.Logger
 	}
@@ -85,7 +85,7 @@
 	if unconfirmed > awayTime {
 		return returnTime
 	}
-	return max(0, min(returnTime, e.config.DrainTime-dropMargin-unconfirmed))
+	return max(0, min(returnTime, e.config.DrainTime()-dropMargin-unconfirmed))
 }
 
 // Unreadable takes note that the entry of a leaf names no leaf that could be called.
--- a/internal/view/detector/choose.go
+++ b/internal/view/detector/choose.go
@@ -59,6 +59,9 @@
 			names = append(names, n)
 		}
 	}
+	if d.config.Targets != nil {
+		names = d.config.Targets(names)
+	}
 	d.config.Random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	return names
 }
--- a/internal/view/detector/detector.go
+++ b/internal/view/detector/detector.go
@@ -57,7 +57,9 @@
 		// fleet: the node that accuses goes on probing the suspect, so no rumour has to find its way.
 		SuspicionPeriod time.Duration
 		// Seeds are peer addresses known from the settings.
-		Seeds    []string
+		Seeds []string
+		// Targets returns which of the members are probed; nil means all of them. It may change the slice.
+		Targets  func(names []string) []string
 		Random   *rand.Rand
 		Asserter *asserter.Asserter
 	}
--- a/internal/view/prober/prober.go
+++ b/internal/view/prober/prober.go
@@ -59,6 +59,8 @@
 		SuspicionPeriod time.Duration
 		// SeedPeers are peer addresses known from the settings.
 		SeedPeers []string
+		// Targets returns which of the members are probed; nil means all of them.
+		Targets func(names []string) []string
 		// Load returns the requests in progress on this node.
 		Load func() uint32
 		// Dead is told the peer address of each node that was declared dead; nil means nobody is.
@@ -82,7 +84,8 @@
 func New(c Config) *Prober {
 	p := &Prober{config: c, rounds: make(chan struct{}, maxRounds), logged: 1}
 	p.detector = detector.New(detector.Config{
-		Self: c.Self, SuspicionPeriod: c.SuspicionPeriod, Seeds: c.SeedPeers, Random: c.Random, Asserter: c.Asserter,
+		Self: c.Self, SuspicionPeriod: c.SuspicionPeriod, Seeds: c.SeedPeers, Targets: c.Targets, Random: c.Random,
+		Asserter: c.Asserter,
 	})
 	p.register()
 	return p
