--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for developers and CI. Tools are pinned: see tools/go.mod and LINTER.
 LINTER   := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOLS    := $(CURDIR)/.bin
-PACKAGES := ./cmd/... ./internal/... ./test/...
+PACKAGES := ./cmd/... ./internal/... ./platform/... ./test/...
 MODULE   := github.com/magnoliastep/magnoliastep
 # Tests that KNOWN-RED.txt names are passed over; .ci/run prints them.
 KNOWN_RED := $(shell sed -n 's/^test: [^ ]* //p' KNOWN-RED.txt | paste -sd '|' -)
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -43,7 +43,8 @@
 
 	// Pool picks leaves.
 	Pool interface {
-		Pick(service string, typical time.Duration, tried func(*pooler.Leaf) bool, now time.Time) (*pooler.Leaf, time.Duration)
+		Pick(service string, typical time.Duration, tried func(*pooler.Leaf) bool, now time.Time) (*pooler.Leaf,
+			time.Duration)
 		Usable(service string) int
 	}
 
--- a/internal/forward/gatherer/gatherer_test.go
+++ b/internal/forward/gatherer/gatherer_test.go
@@ -76,10 +76,16 @@
 			h(w, r)
 		}))
 		t.Cleanup(s.Close)
-		b.pool.Put(pooler.Entry{ID: key, Service: service, Address: s.Listener.Addr().String(), Zone: zone, Slots: 4}, time.Now())
+		b.pool.Put(pooler.Entry{ID: key, Service: service, Address: s.Listener.Addr().String(), Zone: zone, Slots: 4},
+			time.Now())
 	}
 	b.gatherer = gatherer.New(gatherer.Config{
-		Pool: b.pool, Budget: func() budgeter.Config { return budgeter.Config{Share: 1, Slack: 4} }, Nodes: func() int { return 1 },
+		Pool: b.pool, Budget: func() budgeter.Config {
+			return budgeter.Config{
+				Share: 1,
+				Slack: 4,
+			}
+		}, Nodes: func() int { return 1 },
 	})
 	return b
 }
@@ -133,8 +139,14 @@
 		{"failure, idempotent", status(500, false), true, gatherer.OutcomeAnswered, 1},
 		{"failure, once only", status(500, false), false, gatherer.OutcomeFailed, 0},
 		{"not run, once only", status(503, true), false, gatherer.OutcomeAnswered, 1},
-		{"cut, idempotent", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true, gatherer.OutcomeAnswered, 1},
-		{"cut, once only", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, false, gatherer.OutcomeFailed, 0},
+		{
+			"cut, idempotent", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true,
+			gatherer.OutcomeAnswered, 1,
+		},
+		{
+			"cut, once only", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, false,
+			gatherer.OutcomeFailed, 0,
+		},
 		{"slow, once only", answerAfter(2 * time.Second), false, gatherer.OutcomeTimeout, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -194,7 +206,10 @@
 
 func TestAPartThatIsMissingIsWaitedForUntilTheTarget(t *testing.T) {
 	is := is.New(t)
-	b, route := shards(t, map[string]http.HandlerFunc{"s3/near": answerAfter(time.Second), "s3/far": answerAfter(time.Second)})
+	b, route := shards(t, map[string]http.HandlerFunc{
+		"s3/near": answerAfter(time.Second),
+		"s3/far":  answerAfter(time.Second),
+	})
 	startedAt := time.Now()
 	r := b.run(t.Context(), route)
 	took := time.Since(startedAt)
@@ -211,7 +226,10 @@
 	is.Equal(b.run(t.Context(), route).Outcome, gatherer.OutcomeTimeout)
 	is.True(time.Since(startedAt) < limit+60*ms)
 	broken := status(500, false)
-	b, route = shards(t, map[string]http.HandlerFunc{"s3/near": broken, "s3/far": broken, "s7/near": broken, "s7/far": broken})
+	b, route = shards(t, map[string]http.HandlerFunc{
+		"s3/near": broken, "s3/far": broken, "s7/near": broken,
+		"s7/far": broken,
+	})
 	startedAt = time.Now()
 	is.Equal(b.run(t.Context(), route).Outcome, gatherer.OutcomeFailed)
 	is.True(time.Since(startedAt) < target) // no success is possible any more: told at once
--- a/internal/forward/server/server_test.go
+++ b/internal/forward/server/server_test.go
@@ -38,16 +38,25 @@
 }
 
 func newBed() *bed {
-	b := &bed{fresh: true, matcher: matcher.New(matcher.Config{Version: 7, Limits: matcher.Limits{MaxBodyBytes: 8}, Routes: []matcher.Route{
-		{Name: "one", Host: "h", PathPrefix: "/one/", Timeout: time.Second, TargetLatency: 100 * time.Millisecond,
-			Targets: []matcher.Target{{Service: "a", Weight: 3}, {Service: "b", Weight: 1}, {Service: "c", Weight: 0}}},
-		{Name: "many", Host: "h", PathPrefix: "/many/", Timeout: time.Second, TargetLatency: 100 * time.Millisecond,
-			Shards: []string{"a", "b", "c"}, TopRecords: 1},
-	}})}
+	b := &bed{fresh: true, matcher: matcher.New(matcher.Config{
+		Version: 7, Limits: matcher.Limits{MaxBodyBytes: 8},
+		Routes: []matcher.Route{
+			{
+				Name: "one", Host: "h", PathPrefix: "/one/", Timeout: time.Second, TargetLatency: 100 * time.Millisecond,
+				Targets: []matcher.Target{{Service: "a", Weight: 3}, {Service: "b", Weight: 1}, {Service: "c", Weight: 0}},
+			},
+			{
+				Name: "many", Host: "h", PathPrefix: "/many/", Timeout: time.Second, TargetLatency: 100 * time.Millisecond,
+				Shards: []string{"a", "b", "c"}, TopRecords: 1,
+			},
+		},
+	})}
 	b.server = server.New(server.Config{
 		Gatherer: b, Matcher: func() *matcher.Matcher { return b.matcher }, Fresh: func() bool { return b.fresh },
-		Names: server.Names{Names: exchanger.Names{RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign"},
-			PartSignatures: "Signs", MissingParts: "Missing"},
+		Names: server.Names{
+			Names:          exchanger.Names{RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign"},
+			PartSignatures: "Signs", MissingParts: "Missing",
+		},
 		Draining: func() bool { return b.draining }, Observe: func(string, string, time.Duration) {},
 		Logger: slog.New(slog.NewTextHandler(&b.log, nil)), Random: func() float64 { return 0 },
 	})
@@ -68,7 +77,8 @@
 
 func reply(status int, body, signature string) *exchanger.Reply {
 	return &exchanger.Reply{Status: status, Body: []byte(body), Signature: signature, Header: http.Header{
-		"Sign": {signature}, "Id": {"r1"}, "X-Leaf": {"1"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"timeout=5"},
+		"Sign": {signature}, "Id": {"r1"}, "X-Leaf": {"1"}, "Connection": {"X-Hop"}, "X-Hop": {"1"},
+		"Keep-Alive": {"timeout=5"},
 	}}
 }
 
@@ -95,7 +105,8 @@
 		"Left", "400", "Leaf", "forged")
 	m := b.requests[0].Message
 	is.Equal(string(m.Body), "12345678")
-	parsed, err := http.ReadRequest(bufio.NewReader(io.MultiReader(bytes.NewReader(m.Head), strings.NewReader("\r\n"), bytes.NewReader(m.Body))))
+	parsed, err := http.ReadRequest(bufio.NewReader(io.MultiReader(bytes.NewReader(m.Head), strings.NewReader("\r\n"),
+		bytes.NewReader(m.Body))))
 	is.NoErr(err)
 	is.Equal(parsed.RequestURI, "/one//a%2Fb?q=%20&q")
 	is.Equal(parsed.Method, "POST")
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -74,7 +74,8 @@
 }
 
 func (n *Node) otherSeeds() []string {
-	return slices.DeleteFunc(slices.Clone(n.bounds.Load().SeedPeers), func(a string) bool { return a == n.config.PeerAddress })
+	return slices.DeleteFunc(slices.Clone(n.bounds.Load().SeedPeers),
+		func(a string) bool { return a == n.config.PeerAddress })
 }
 
 // linkedPeers returns the peer addresses of the nodes that this one keeps links to, in random order.
@@ -89,7 +90,8 @@
 	for _, name := range linker.Choose(names, n.config.NodeName) {
 		linked = append(linked, addresses[name])
 	}
-	rand.Shuffle(len(linked), func(i, j int) { linked[i], linked[j] = linked[j], linked[i] })
+	swap := func(i, j int) { linked[i], linked[j] = linked[j], linked[i] }
+	rand.Shuffle(len(linked), swap) //nolint:gosec // spreads load only
 	return linked
 }
 
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -159,7 +159,7 @@
 	n.prober = prober.New(prober.Config{
 		Self: n.self(), Messenger: n.messenger, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
 		Asserter:    asserter.New(asserter.Config{Logger: c.Logger}),
-		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), //nolint:gosec // spreads load only
 		ProbePeriod: probePeriod, ProbeTimeout: probeTimeout, SuspicionPeriod: suspicionPeriod,
 		Targets:   func(names []string) []string { return linker.Choose(names, c.NodeName) },
 		SeedPeers: n.otherSeeds(), Load: func() uint32 { return uint32(n.server.InProgress()) }, Dead: n.messenger.Drop,
@@ -174,7 +174,8 @@
 		Connected: connections.Inc, Random: rand.Float64, Logger: c.Logger,
 	})
 	n.enroller = enroller.New(enroller.Config{
-		Pool: n.pooler, DrainTime: func() time.Duration { return n.bounds.Load().DrainTime }, Clock: c.Clock, Logger: c.Logger,
+		Pool: n.pooler, DrainTime: func() time.Duration { return n.bounds.Load().DrainTime },
+		Clock: c.Clock, Logger: c.Logger,
 	})
 	n.gatherer = gatherer.New(gatherer.Config{
 		Pool: n.pooler, Budget: n.budget, Nodes: n.servingNodes,
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -259,7 +259,8 @@
 		n.config.Logger.Error("node record can't be encoded", "error", err)
 		return
 	}
-	for sleeper.Sleep(ctx, n.config.Clock, registerPause); ctx.Err() == nil; sleeper.Sleep(ctx, n.config.Clock, registerPause) {
+	for sleeper.Sleep(ctx, n.config.Clock, registerPause); ctx.Err() == nil; sleeper.Sleep(ctx, n.config.Clock,
+		registerPause) {
 		if _, serves := n.namer.Serving(n.config.NodeName); !serves {
 			continue
 		}
--- a/internal/records/replicator/replicator.go
+++ b/internal/records/replicator/replicator.go
@@ -96,7 +96,9 @@
 
 // ApplyChanges takes the documents that have changed since a position, up to a revision. It returns false
 // when something between that position and this node's is missing.
-func (r *Replicator) ApplyChanges(name string, after int64, documents []Document, revision int64, confirmedAt time.Time) bool {
+func (r *Replicator) ApplyChanges(name string, after int64, documents []Document, revision int64,
+	confirmedAt time.Time,
+) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	k := r.kind(name)
--- a/internal/records/replicator/replicator_test.go
+++ b/internal/records/replicator/replicator_test.go
@@ -43,7 +43,11 @@
 	is := is.New(t)
 	clock := quartz.NewMock(t)
 	var before time.Time
-	r := replicator.New(replicator.Config{Clock: clock, Changed: func(_ replicator.Document, at time.Time) { before = at }})
+	r := replicator.New(replicator.Config{Clock: clock, Changed: func(_ replicator.Document,
+		at time.Time,
+	) {
+		before = at
+	}})
 	first := clock.Now()
 	r.ApplyList(kind, []replicator.Document{document("a", 1, false)}, 1, first)
 	clock.Advance(time.Second)
--- a/internal/records/watcher/watcher.go
+++ b/internal/records/watcher/watcher.go
@@ -95,7 +95,7 @@
 			pause = firstPause
 			continue
 		}
-		sleeper.Sleep(ctx, w.config.Clock, pause/2+rand.N(pause))
+		sleeper.Sleep(ctx, w.config.Clock, pause/2+rand.N(pause)) //nolint:gosec // spreads load only
 		pause = min(2*pause, lastPause)
 	}
 }
--- a/internal/upstream/enroller/enroller_test.go
+++ b/internal/upstream/enroller/enroller_test.go
@@ -24,7 +24,8 @@
 func newPair(t *testing.T) (*quartz.Mock, *pool, *enroller.Enroller) {
 	clock, p := quartz.NewMock(t), &pool{leaves: map[string]pooler.Entry{}}
 	return clock, p, enroller.New(enroller.Config{
-		Pool: p, DrainTime: func() time.Duration { return drainTime }, Clock: clock, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Pool: p, DrainTime: func() time.Duration { return drainTime }, Clock: clock,
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 }
 
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -139,7 +139,11 @@
 		{"only the answer of another request", []string{strings.Replace(good, "Id: {id}", "Id: old", 1) + "FIN"}, "", 2},
 		{"informational answer first", []string{"HTTP/1.1 103 Early Hints\r\n\r\n" + good}, "body", 1},
 		{"body ends early", []string{strings.Replace(good, "4", "9", 1) + "FIN"}, "", 2},
-		{"no length, ends with the connection", []string{strings.Replace(good, "Content-Length: 4\r\n", "", 1) + "FIN"}, "body", 2},
+		{
+			"no length, ends with the connection",
+			[]string{strings.Replace(good, "Content-Length: 4\r\n", "", 1) + "FIN"},
+			"body", 2,
+		},
 		{"no length, reset", []string{strings.Replace(good, "Content-Length: 4\r\n", "", 1) + "RST"}, "", 2},
 		{"not an answer", []string{"garbage\r\n\r\nFIN"}, "", 2},
 		{"encoded", []string{strings.Replace(good, "Sign", "Content-Encoding: gzip\r\nSign", 1)}, "", 2},
@@ -170,7 +174,8 @@
 func TestWhatDidNotRunIsTold(t *testing.T) {
 	is := is.New(t)
 	_, e := newLeaf(t, "HTTP/1.1 503 Busy\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 500 Broken\r\nSign: s\r\nContent-Length: 0\r\n\r\n")
+		"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 500 Broken\r\nSign: s\r\nContent-Length: 0\r\n\r\n")
 	for _, want := range []bool{true, true, false} {
 		reply, err := do(t, e, "r")
 		is.NoErr(err)
--- a/internal/upstream/pooler/pooler.go
+++ b/internal/upstream/pooler/pooler.go
@@ -231,7 +231,9 @@
 
 // Pick returns the leaf of the service with the least expected time to an answer, and that time, or nil when
 // there is none besides those that were tried. typical is the usual time of such calls.
-func (p *Pooler) Pick(service string, typical time.Duration, tried func(*Leaf) bool, now time.Time) (*Leaf, time.Duration) {
+func (p *Pooler) Pick(service string, typical time.Duration, tried func(*Leaf) bool, now time.Time) (*Leaf,
+	time.Duration,
+) {
 	p.mutex.Lock()
 	leaves, declared := p.services[service], p.declared[service]
 	p.mutex.Unlock()
--- a/internal/upstream/scorer/scorer.go
+++ b/internal/upstream/scorer/scorer.go
@@ -120,7 +120,8 @@
 	s.fade(now)
 	base := time.Duration(float64(typical) * s.factor)
 	waiting := max(0, len(s.open)+1-max(1, slots))
-	expected := time.Duration(float64(base) * (1 + loadWeight*float64(len(s.open)) + float64(waiting)/float64(max(1, slots))))
+	expected := time.Duration(float64(base) * (1 + loadWeight*float64(len(s.open)) + float64(waiting)/float64(max(1,
+		slots))))
 	expected += time.Duration(s.failures / (1.02 - s.failures) * float64(failurePenalty))
 	return expected + s.stall(now, base)
 }
--- a/internal/upstream/scorer/scorer_test.go
+++ b/internal/upstream/scorer/scorer_test.go
@@ -45,7 +45,10 @@
 		name string
 		took time.Duration
 		o    scorer.Outcome
-	}{{"slow", 100 * ms, scorer.Success}, {"failing", ms, scorer.Failure}, {"rejecting", ms, scorer.Rejection}, {"abandoned", 200 * ms, scorer.Abandoned}} {
+	}{{"slow", 100 * ms, scorer.Success}, {"failing", ms, scorer.Failure}, {
+		"rejecting", ms,
+		scorer.Rejection,
+	}, {"abandoned", 200 * ms, scorer.Abandoned}} {
 		s, now := scorer.New(), time.Now()
 		for range 8 {
 			now = call(s, now, c.took, c.o)
--- a/internal/view/linker/linker_test.go
+++ b/internal/view/linker/linker_test.go
@@ -39,7 +39,14 @@
 }
 
 func TestNewsReachesAllInAFewSteps(t *testing.T) {
-	for _, c := range []struct{ nodes, links, steps int }{{1, 0, 0}, {2, 1, 1}, {12, 11, 1}, {13, 3, 5}, {91, 5, 9}, {1000, 7, 13}} {
+	for _, c := range []struct{ nodes, links, steps int }{
+		{1, 0, 0},
+		{2, 1, 1},
+		{12, 11, 1},
+		{13, 3, 5},
+		{91, 5, 9},
+		{1000, 7, 13},
+	} {
 		t.Run(fmt.Sprint(c.nodes), func(t *testing.T) {
 			is := is.New(t)
 			names := fleet(c.nodes)
