--- a/internal/forward/server/answer.go
+++ b/internal/forward/server/answer.go
@@ -88,13 +88,13 @@
 	if outcome == "partial" || r.Retries > 0 || time.Since(x.arrivedAt) > x.route.TargetLatency {
 		x.log(outcome, http.StatusOK, r)
 	}
-	x.observe(outcome)
+	x.observe(outcome, r)
 }
 
 // note counts and logs how a request ended.
 func (x *exchange) note(outcome string, status int, r gatherer.Result) {
 	x.log(outcome, status, r)
-	x.observe(outcome)
+	x.observe(outcome, r)
 }
 
 // writeParts writes the greatest records of all parts.
@@ -167,8 +167,8 @@
 	x.note(outcome, status, r)
 }
 
-func (x *exchange) observe(outcome string) {
-	x.server.config.Observe(x.routeName(), outcome, time.Since(x.arrivedAt))
+func (x *exchange) observe(outcome string, r gatherer.Result) {
+	x.server.config.Observe(x.routeName(), outcome, time.Since(x.arrivedAt), r)
 }
 
 func (x *exchange) routeName() string {
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -58,8 +58,8 @@
 		Fresh func() bool
 		// Draining tells whether this node is about to stop.
 		Draining func() bool
-		// Observe is told how each request ended.
-		Observe func(route, outcome string, took time.Duration)
+		// Observe is told how each request ended and what it took on the way.
+		Observe func(route, outcome string, took time.Duration, r gatherer.Result)
 		Logger  *slog.Logger
 		// Random returns numbers from 0 to 1. It is safe for concurrent use.
 		Random func() float64
--- a/internal/forward/server/server_test.go
+++ b/internal/forward/server/server_test.go
@@ -57,7 +57,7 @@
 			Names:          exchanger.Names{RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign"},
 			PartSignatures: "Signs", MissingParts: "Missing",
 		},
-		Draining: func() bool { return b.draining }, Observe: func(string, string, time.Duration) {},
+		Draining: func() bool { return b.draining }, Observe: func(string, string, time.Duration, gatherer.Result) {},
 		Logger: slog.New(slog.NewTextHandler(&b.log, nil)), Random: func() float64 { return 0 },
 	})
 	return b
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"slices"
 	"time"
 
@@ -179,17 +178,6 @@
 	}
 }
 
-func (n *Node) observe(route, outcome string, took time.Duration) {
-	n.config.Metrics.GetOrCreateCounter(`stepfront_requests_total{outcome="` + outcome + `"}`).Inc()
-	if route != "" {
-		n.config.Metrics.GetOrCreateHistogram(`stepfront_request_seconds{route="` + route + `"}`).Update(took.Seconds())
-	}
-}
-
-func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	n.config.Metrics.WritePrometheus(w)
-}
-
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: peerDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: peerKeepAliveIdle, Interval: peerKeepAliveInterval, Count: peerKeepAliveCount,
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -146,6 +146,7 @@
 		Observe: n.observe, Logger: c.Logger, Random: rand.Float64,
 	})
 	n.namer = namer.New(namer.Config{View: n.prober, KeepFor: keepAnswers})
+	n.registerGauges()
 	return n
 }
 
