--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -122,6 +122,8 @@
 		server     *server.Server
 		namer      *namer.Namer
 		mutex      sync.Mutex
+		// readerSpread is this node's part of lateReaderSpread.
+		readerSpread time.Duration
 		// evacuated has the zones that are out of service.
 		evacuated map[string]bool
 		// serving is what was last known of the nodes that serve callers.
@@ -138,6 +140,7 @@
 func New(c Config) *Node {
 	n := &Node{config: c, startedAt: c.Clock.Now(), evacuated: map[string]bool{}, stalls: make(chan stall, maxStalls)}
 	n.bounds.Store(&c.Bounds)
+	n.readerSpread = rand.N(lateReaderSpread) //nolint:gosec // spreads load only
 	n.assembleFleet()
 	n.assembleLeaves()
 	n.assembleRecords()
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -32,8 +32,11 @@
 	readerAge = 600 * time.Millisecond
 	// readerStep is added for each node that is to read before this one.
 	readerStep = 150 * time.Millisecond
-	// maxReaderRank bounds that, so that all nodes of a large fleet read when none hears of the store.
-	maxReaderRank = 6
+	// maxReaderRank is how many nodes read in turn. The others read only when all of these seem to be turned
+	// away, after lateReaderAge and up to lateReaderSpread more: an outage must not make all nodes call.
+	maxReaderRank    = 8
+	lateReaderAge    = 4 * time.Second
+	lateReaderSpread = 20 * time.Second
 	// seedPause is how long a node that is no seed waits for the seeds to tell what they have read.
 	seedPause = 150 * time.Millisecond
 	// firstSeedPause is that time at the first start of all nodes.
@@ -89,15 +92,13 @@
 		}
 		return n.isSeed() || n.config.Clock.Since(n.startedAt) > pause
 	}
-	rank := maxReaderRank
+	age := n.config.Clock.Since(position.ConfirmedAt)
 	for i, m := range ranker.New(n.prober.Members()).Leading(ranker.Key{Name: readerKey + kind}, maxReaderRank) {
 		if m.GetName() == n.config.NodeName {
-			rank = i
-			break
+			return i == 0 || age > wait+readerAge+time.Duration(i)*readerStep
 		}
 	}
-	age := n.config.Clock.Since(position.ConfirmedAt)
-	return rank == 0 || age > wait+readerAge+time.Duration(rank)*readerStep
+	return age > wait+lateReaderAge+n.readerSpread
 }
 
 func (n *Node) isSeed() bool {
--- a/internal/upstream/pooler/pooler.go
+++ b/internal/upstream/pooler/pooler.go
@@ -22,7 +22,7 @@
 	connectionMargin = 0.85
 	// otherZoneFactor times the expected time makes a leaf in another zone as good as one in this zone:
 	// bytes between zones are paid for.
-	otherZoneFactor = 1.15
+	otherZoneFactor = 1.5
 	// coldFactor times the expected time of a leaf that has just started.
 	coldFactor = 1.6
 	// jitter is the share by which expected times are spread, so that nodes do not all pick the same leaf.
