--- /dev/null
+++ b/internal/records/spreader/spreader_test.go
@@ -0,0 +1,152 @@
+package spreader_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/quartz"
+	"github.com/matryer/is"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
+	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
+	"github.com/magnoliastep/magnoliastep/internal/records/spreader"
+	"github.com/magnoliastep/magnoliastep/internal/view/linker"
+)
+
+const (
+	kind  = "leaves"
+	delay = 2 * time.Millisecond
+)
+
+// fleet is a set of nodes that exchange frames after a delay. Nodes that are cut get and send nothing.
+type fleet struct {
+	names    []string
+	spreader map[string]*spreader.Spreader
+	replica  map[string]*replicator.Replicator
+	cut      sync.Map
+}
+
+// link carries the frames of one node.
+type link struct {
+	fleet *fleet
+	from  string
+}
+
+func (l link) Send(ctx context.Context, to string, _ messenger.Plane, f *pb.Frame) error {
+	if l.fleet.isCut(to) || l.fleet.isCut(l.from) {
+		return errors.New("cut")
+	}
+	go func() {
+		time.Sleep(delay)
+		l.fleet.spreader[to].HandleNotice(ctx, l.from, f.GetDocumentNotice())
+	}()
+	return nil
+}
+
+func (l link) Call(_ context.Context, to string, _ messenger.Plane, f *pb.Frame) (*pb.Frame, error) {
+	if l.fleet.isCut(to) || l.fleet.isCut(l.from) {
+		return nil, errors.New("cut")
+	}
+	time.Sleep(2 * delay)
+	return &pb.Frame{From: to, Body: &pb.Frame_Documents{
+		Documents: l.fleet.spreader[to].HandlePull(f.GetDocumentPull()),
+	}}, nil
+}
+
+func (f *fleet) isCut(name string) bool {
+	_, cut := f.cut.Load(name)
+	return cut
+}
+
+func newFleet(ctx context.Context, nodes int) *fleet {
+	f := &fleet{
+		spreader: map[string]*spreader.Spreader{}, replica: map[string]*replicator.Replicator{},
+	}
+	for i := range nodes {
+		f.names = append(f.names, fmt.Sprintf("node-%d", i))
+	}
+	for _, name := range f.names {
+		r := replicator.New(replicator.Config{
+			Clock: quartz.NewReal(), Changed: func(replicator.Document, time.Time) {},
+		})
+		s := spreader.New(spreader.Config{
+			Kinds: []string{kind}, PeerAddress: name, Messenger: link{f, name}, Replica: r, Clock: quartz.NewReal(),
+			Peers: func() []string {
+				peers := linker.Choose(f.names, name)
+				rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+				return peers
+			},
+			Forward: func() bool { return !linker.Small(nodes) },
+			Learned: func(string, int) {}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		})
+		f.spreader[name], f.replica[name] = s, r
+		go s.Run(ctx)
+	}
+	return f
+}
+
+// learn gives a node news from the store.
+func (f *fleet) learn(name string, revision int64) {
+	f.replica[name].ApplyList(kind, []replicator.Document{{Kind: kind, Name: "a", Revision: revision}}, revision, time.Now())
+	f.spreader[name].Announce()
+}
+
+func (f *fleet) knowing(revision int64) int {
+	count := 0
+	for _, r := range f.replica {
+		if r.Position(kind).Revision >= revision {
+			count++
+		}
+	}
+	return count
+}
+
+func TestNewsReachesAllNodes(t *testing.T) {
+	for nodes, within := range map[int]time.Duration{1: 0, 9: 20 * time.Millisecond, 91: 150 * time.Millisecond} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newFleet(ctx, nodes)
+				f.learn("node-0", 7)
+				time.Sleep(within)
+				is.Equal(f.knowing(7), nodes)
+				confirmedAt := time.Now()
+				f.replica["node-0"].Confirm(kind, 7, confirmedAt.Add(time.Second))
+				f.spreader["node-0"].Announce()
+				time.Sleep(time.Second)
+				for _, r := range f.replica {
+					is.True(time.Since(r.Position(kind).ConfirmedAt) < 900*time.Millisecond)
+				}
+				cancel()
+				time.Sleep(time.Second) // lets the goroutines end
+			})
+		})
+	}
+}
+
+func TestANodeThatMissedTheNewsIsBroughtUpToDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 5)
+		f.cut.Store("node-3", true)
+		f.learn("node-0", 7)
+		time.Sleep(5 * time.Second)
+		is.Equal(f.knowing(7), 4)
+		f.cut.Delete("node-3")
+		time.Sleep(2 * time.Second)
+		is.Equal(f.knowing(7), 5)
+		cancel()
+		time.Sleep(time.Second) // lets the goroutines end
+	})
+}
--- /dev/null
+++ b/internal/records/watcher/watcher_test.go
@@ -0,0 +1,166 @@
+package watcher_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/quartz"
+	"github.com/matryer/is"
+
+	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
+	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
+)
+
+const kind = "leaves"
+
+var errDown = errors.New("down") //nolint:gochecknoglobals // constant
+
+// store is a store whose history may be dropped and which may be down.
+type store struct {
+	mutex     sync.Mutex
+	documents []replicator.Document
+	revision  int64
+	dropped   int64
+	down      bool
+	lists     int
+	watches   int
+}
+
+func (s *store) List(context.Context, string) ([]replicator.Document, int64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lists++
+	if s.down {
+		return nil, 0, errDown
+	}
+	return append([]replicator.Document(nil), s.documents...), s.revision, nil
+}
+
+func (s *store) Watch(
+	ctx context.Context, _ string, after int64, wait time.Duration,
+) ([]replicator.Document, int64, error) {
+	for until := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
+		s.mutex.Lock()
+		if after == s.revision && !s.down && time.Now().Before(until) && ctx.Err() == nil {
+			s.mutex.Unlock()
+			continue
+		}
+		defer s.mutex.Unlock()
+		s.watches++
+		switch {
+		case s.down:
+			return nil, 0, errDown
+		case after < s.dropped:
+			return nil, 0, watcher.ErrHistoryGone
+		}
+		var changes []replicator.Document
+		for _, d := range s.documents {
+			if d.Revision > after {
+				changes = append(changes, d)
+			}
+		}
+		return changes, s.revision, nil
+	}
+}
+
+// calls returns the lists and watches so far.
+func (s *store) calls() (int, int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lists, s.watches
+}
+
+func (s *store) put(name string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.documents = append(s.documents, replicator.Document{Kind: kind, Name: name, Revision: s.revision})
+}
+
+// run follows the store in virtual time while play changes it.
+func run(t *testing.T, due func() bool, play func(s *store, r *replicator.Replicator)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{revision: 1}
+		r := replicator.New(replicator.Config{
+			Clock: quartz.NewReal(), Changed: func(replicator.Document, time.Time) {},
+		})
+		w := watcher.New(watcher.Config{
+			Kind: kind, Store: s, Replica: r, Wait: time.Second, Due: due, Clock: quartz.NewReal(),
+			Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		play(s, r)
+		cancel()
+		time.Sleep(time.Second) // lets the goroutines end
+	})
+}
+
+func always() bool { return true }
+
+func TestChangesArriveSoonAndGather(t *testing.T) {
+	is := is.New(t)
+	run(t, always, func(s *store, r *replicator.Replicator) {
+		time.Sleep(100 * time.Millisecond)
+		for range 20 {
+			s.put(string(rune('a' + len(s.documents))))
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(len(r.Documents(kind)), 20)
+		lists, watches := s.calls()
+		is.True(watches <= 4) // not one call for each change
+		is.Equal(lists, 1)
+	})
+}
+
+func TestHistoryThatIsGoneIsListed(t *testing.T) {
+	is := is.New(t)
+	run(t, always, func(s *store, r *replicator.Replicator) {
+		time.Sleep(100 * time.Millisecond)
+		s.mutex.Lock()
+		s.dropped = s.revision + 1
+		s.mutex.Unlock()
+		s.put("a")
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(len(r.Documents(kind)), 1)
+		lists, _ := s.calls()
+		is.Equal(lists, 2)
+	})
+}
+
+func TestAnOutageIsSatOut(t *testing.T) {
+	is := is.New(t)
+	run(t, always, func(s *store, r *replicator.Replicator) {
+		s.put("a")
+		time.Sleep(100 * time.Millisecond)
+		s.mutex.Lock()
+		s.down = true
+		s.mutex.Unlock()
+		time.Sleep(10 * time.Second)
+		_, watches := s.calls()
+		is.True(watches < 25) // few calls while it is down
+		is.Equal(len(r.Documents(kind)), 1)
+		s.mutex.Lock()
+		s.down = false
+		s.mutex.Unlock()
+		s.put("b")
+		time.Sleep(1300 * time.Millisecond)
+		is.Equal(len(r.Documents(kind)), 2)
+	})
+}
+
+func TestANodeThatIsNotDueDoesNotCall(t *testing.T) {
+	is := is.New(t)
+	run(t, func() bool { return false }, func(s *store, _ *replicator.Replicator) {
+		time.Sleep(10 * time.Second)
+		lists, watches := s.calls()
+		is.Equal(lists+watches, 0)
+	})
+}
