--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -109,6 +109,10 @@
 	if s.config.Draining() {
 		w.Header().Set("Connection", "close")
 	}
+	if x.id == "" {
+		x.fail(http.StatusBadRequest, "no_request_id", gatherer.Result{})
+		return
+	}
 	m := s.config.Matcher()
 	if m == nil {
 		x.refuse("no_configuration", startingRetryAfter, gatherer.Result{})
@@ -149,8 +153,16 @@
 	if limit > 0 {
 		reader = http.MaxBytesReader(x.writer, reader, limit)
 	}
+	// A caller that stops in the middle of its body is not waited for longer than its route allows.
+	control := http.NewResponseController(x.writer)
+	if err := control.SetReadDeadline(x.arrivedAt.Add(x.route.Timeout)); err != nil {
+		x.server.config.Logger.Debug("body is read without a deadline", "request_id", x.id, "error", err)
+	}
 	body, err := io.ReadAll(reader)
 	if err == nil {
+		if err := control.SetReadDeadline(time.Time{}); err != nil {
+			x.server.config.Logger.Debug("deadline stays", "request_id", x.id, "error", err)
+		}
 		return body, true
 	}
 	var tooLarge *http.MaxBytesError
--- a/internal/forward/server/server_test.go
+++ b/internal/forward/server/server_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -172,6 +173,33 @@
 	}
 }
 
+func TestARequestWithoutAnIDIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := newBed()
+	r := httptest.NewRequest(http.MethodGet, "/one/x", nil)
+	r.Host = "h"
+	w := httptest.NewRecorder()
+	b.server.ServeHTTP(w, r)
+	is.Equal(w.Code, 400)
+	is.Equal(len(b.requests), 0)
+}
+
+func TestACallerThatStopsInItsBodyIsNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	b := newBed()
+	s := httptest.NewServer(b.server)
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	is.NoErr(err)
+	startedAt := time.Now()
+	_, err = io.WriteString(c, "POST /one/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 8\r\n\r\nhalf")
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 400)
+	is.True(time.Since(startedAt) < 2*time.Second)
+}
+
 func TestALongBodyIsRefused(t *testing.T) {
 	is := is.New(t)
 	b := newBed()
--- a/internal/node/forwarder/serve.go
+++ b/internal/node/forwarder/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
+	"github.com/magnoliastep/magnoliastep/internal/entrance/idler"
 	"github.com/magnoliastep/magnoliastep/internal/forward/server"
 )
 
@@ -26,6 +27,8 @@
 // servers returns the servers of the node; the first one serves callers.
 func (n *Node) servers() []*http.Server {
 	callers := newServer(n.config.CallerAddress, n.server)
+	callers.IdleTimeout = 0
+	callers.ConnState = idler.New(idler.Config{Timeout: n.idleTimeout, Clock: n.config.Clock}).Observe
 	callers.ConnContext = func(ctx context.Context, _ net.Conn) context.Context { return server.ConnContext(ctx) }
 	servers := []*http.Server{
 		callers,
@@ -38,6 +41,14 @@
 	return servers
 }
 
+// idleTimeout is how long a caller's connection may stay idle.
+func (n *Node) idleTimeout() time.Duration {
+	if m := n.matcher.Load(); m != nil && m.Limits().IdleTimeout > 0 {
+		return m.Limits().IdleTimeout
+	}
+	return idleTimeout
+}
+
 func newServer(address string, h http.Handler) *http.Server {
 	return &http.Server{
 		Addr: address, Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
