Keep leaves by service: taking an entry does not look at all leaves

Cause: with 6,500 leaves one entry took 213 us, as the list of its service was made from all leaves (TestMeasureSlopes); a start took 1.4 s of processor time. Change: leaves are kept by service.

--- a/internal/upstream/pooler/pooler.go
+++ b/internal/upstream/pooler/pooler.go
@@ -81,6 +81,8 @@
 		config Config
 		mutex  sync.Mutex
 		leaves map[string]*Leaf
+		// members has the leaves of each service by id.
+		members map[string]map[string]*Leaf
 		// services has the leaves of each service that may be called. A slice is replaced, never changed.
 		services map[string][]*Leaf
 		declared map[string]Service
@@ -109,7 +111,7 @@
 // New returns a Pooler without leaves.
 func New(c Config) *Pooler {
 	return &Pooler{
-		config: c, leaves: map[string]*Leaf{}, services: map[string][]*Leaf{}, declared: map[string]Service{},
+		config: c, leaves: map[string]*Leaf{}, members: map[string]map[string]*Leaf{}, services: map[string][]*Leaf{}, declared: map[string]Service{},
 		evacuated: map[string]bool{}, nodes: 1,
 	}
 }
@@ -151,6 +153,13 @@
 		l.coldUntil = now.Add(e.WarmUpLeft)
 	}
 	p.leaves[e.ID] = l
+	if old != nil {
+		delete(p.members[old.entry.Service], e.ID)
+	}
+	if p.members[e.Service] == nil {
+		p.members[e.Service] = map[string]*Leaf{}
+	}
+	p.members[e.Service][e.ID] = l
 	if old != nil && old.exchanger != l.exchanger {
 		old.exchanger.Close()
 	}
@@ -171,6 +180,7 @@
 		return
 	}
 	delete(p.leaves, id)
+	delete(p.members[l.entry.Service], id)
 	p.refreshLocked(l.entry.Service)
 	l.exchanger.Close()
 	p.config.Logger.Info("leaf removed", "leaf", id, "service", l.entry.Service, "reason", reason)
@@ -217,7 +227,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.evacuated = zones
-	for service := range p.services {
+	for service := range p.members {
 		p.refreshLocked(service)
 	}
 }
@@ -295,12 +305,16 @@
 // refreshLocked makes the list of the service's leaves that may be called.
 func (p *Pooler) refreshLocked(service string) {
 	var leaves []*Leaf
-	for _, l := range p.leaves {
-		if l.entry.Service == service && !l.entry.Draining && !p.evacuated[l.entry.Zone] {
+	for _, l := range p.members[service] {
+		if !l.entry.Draining && !p.evacuated[l.entry.Zone] {
 			leaves = append(leaves, l)
 		}
 	}
 	p.services[service] = leaves
+	if len(p.members[service]) == 0 {
+		delete(p.services, service)
+		delete(p.members, service)
+	}
 }
 
 func (l *Leaf) cold(now time.Time) bool {
