--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -110,7 +110,8 @@
 		NodeName: s.NodeName, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
 		CallerAddress: s.CallerAddress, ReadinessAddress: s.ReadinessAddress, PeerAddress: s.PeerAddress,
 		DirectoryAddress: s.DirectoryAddress, MetricsAddress: s.MetricsAddress,
-		CPUShare: s.CPUShare, FirstStart: s.FirstStart, Bounds: bounds(s),
+		CPUShare: s.CPUShare, FirstStart: s.FirstStart, DirectoryTime: s.DirectoryTime,
+		Bounds: bounds(s),
 		Store: platform.NewStore(s.StoreAddress, func(call, result string) {
 			set.GetOrCreateCounter(`stepfront_store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
 		}),
--- a/internal/forward/matcher/matcher.go
+++ b/internal/forward/matcher/matcher.go
@@ -126,8 +126,3 @@
 func (m *Matcher) Limits() Limits {
 	return m.config.Limits
 }
-
-// Routes returns all routes. The slice must not be changed.
-func (m *Matcher) Routes() []Route {
-	return m.config.Routes
-}
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -87,6 +87,8 @@
 		CallerAddress, ReadinessAddress, PeerAddress, DirectoryAddress, MetricsAddress string
 		// CPUShare is the cores that the VM has.
 		CPUShare float64
+		// DirectoryTime is the longest time for which callers keep an answer of the directory.
+		DirectoryTime time.Duration
 		// FirstStart is set when all nodes start for the first time: there is time to let few of them read the store.
 		FirstStart bool
 		// Bounds may change while the node runs.
@@ -148,11 +150,19 @@
 		Gatherer: n.gatherer, Names: c.Names, Matcher: n.matcher.Load, Fresh: n.fresh, Draining: n.stopping.Load,
 		Observe: n.observe, Logger: c.Logger, Random: rand.Float64,
 	})
-	n.namer = namer.New(namer.Config{View: n.prober, KeepFor: keepAnswers})
+	n.namer = namer.New(namer.Config{View: n.prober, KeepFor: keepFor(c.DirectoryTime)})
 	n.registerGauges()
 	return n
 }
 
+// keepFor returns how long callers are to keep an answer of the directory; 0 as the longest means no bound.
+func keepFor(longest time.Duration) time.Duration {
+	if longest <= 0 {
+		return keepAnswers
+	}
+	return min(keepAnswers, longest)
+}
+
 func (n *Node) assembleFleet() {
 	c := n.config
 	n.messenger = messenger.New(messenger.Config{
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -32,8 +32,9 @@
 	// allowedStep is added to the requests under way for an answer in time, and allowedCut times what is left of
 	// them for a late one.
 	allowedStep = 0.2
-	unlimited   = 1 << 20
 	allowedCut  = 0.8
+	// allowedAtStart leaves the bound to the limit of connections until an answer is late.
+	allowedAtStart = 1 << 20
 	// readBufferBytes holds the head of an answer and a small body.
 	readBufferBytes = 2 << 10
 )
@@ -134,7 +135,7 @@
 	e := &Exchanger{config: c}
 	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
 	e.limit.Store(1)
-	e.allowed = unlimited
+	e.allowed = allowedAtStart
 	return e
 }
 
--- a/internal/upstream/pooler/pooler.go
+++ b/internal/upstream/pooler/pooler.go
@@ -186,17 +186,6 @@
 	p.config.Logger.Info("leaf removed", "leaf", id, "service", l.entry.Service, "reason", reason)
 }
 
-// Leaves returns the ids of all leaves.
-func (p *Pooler) Leaves() []string {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	ids := make([]string, 0, len(p.leaves))
-	for id := range p.leaves {
-		ids = append(ids, id)
-	}
-	return ids
-}
-
 // Leaf returns the leaf with the id, or nil.
 func (p *Pooler) Leaf(id string) *Leaf {
 	p.mutex.Lock()
