--- a/internal/records/spreader/spreader_test.go
+++ b/internal/records/spreader/spreader_test.go
@@ -96,7 +96,8 @@
 
 // learn gives a node news from the store.
 func (f *fleet) learn(name string, revision int64) {
-	f.replica[name].ApplyList(kind, []replicator.Document{{Kind: kind, Name: "a", Revision: revision}}, revision, time.Now())
+	f.replica[name].ApplyList(kind, []replicator.Document{{Kind: kind, Name: "a", Revision: revision}}, revision,
+		time.Now())
 	f.spreader[name].Announce()
 }
 
--- a/internal/records/watcher/watcher_test.go
+++ b/internal/records/watcher/watcher_test.go
@@ -19,7 +19,7 @@
 
 const kind = "leaves"
 
-var errDown = errors.New("down") //nolint:gochecknoglobals // constant
+var errDown = errors.New("down")
 
 // store is a store whose history may be dropped and which may be down.
 type store struct {
--- a/internal/upstream/pooler/pooler.go
+++ b/internal/upstream/pooler/pooler.go
@@ -111,7 +111,8 @@
 // New returns a Pooler without leaves.
 func New(c Config) *Pooler {
 	return &Pooler{
-		config: c, leaves: map[string]*Leaf{}, members: map[string]map[string]*Leaf{}, services: map[string][]*Leaf{}, declared: map[string]Service{},
+		config: c, leaves: map[string]*Leaf{}, members: map[string]map[string]*Leaf{},
+		services: map[string][]*Leaf{}, declared: map[string]Service{},
 		evacuated: map[string]bool{}, nodes: 1,
 	}
 }
