Open long-lived connections in one place; simpler conditions in budget and exchange

The budget took its lock twice for one hedge; the condition for keeping a connection asked twice whether it closes; two branches called release where one does. A stall report that is not sent leaves a debug line. Behaviour is the same; no test changed.

--- a/internal/forward/budgeter/budgeter.go
+++ b/internal/forward/budgeter/budgeter.go
@@ -55,12 +55,12 @@
 
 // TakeHedge takes leave to send a request once more that has not failed.
 func (b *Budgeter) TakeHedge() bool {
-	return b.take(1 + hedgeReserve*b.depthNow())
+	return b.take(hedgeReserve)
 }
 
 // TakeRetry takes leave to send a request once more that has failed.
 func (b *Budgeter) TakeRetry() bool {
-	return b.take(1)
+	return b.take(0)
 }
 
 // Return gives back leave that was not used.
@@ -77,22 +77,17 @@
 	return b.tokens
 }
 
-func (b *Budgeter) take(needed float64) bool {
+// take takes one token if at least reserve, a part of the bucket, is left besides.
+func (b *Budgeter) take(reserve float64) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.tokens < min(needed, b.depth()) {
+	if depth := b.depth(); b.tokens < min(1+reserve*depth, depth) {
 		return false
 	}
 	b.tokens--
 	return true
 }
 
-func (b *Budgeter) depthNow() float64 {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.depth()
-}
-
 func (b *Budgeter) depth() float64 {
 	return max(minDepth, b.config().Slack*slackMargin/float64(b.nodes))
 }
--- a/internal/forward/gatherer/sending.go
+++ b/internal/forward/gatherer/sending.go
@@ -100,7 +100,7 @@
 func (n *run) droppable() bool {
 	lost := 0
 	for i := range n.shards {
-		if s := &n.shards[i]; s.dropped {
+		if n.shards[i].dropped {
 			lost++
 		}
 	}
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/peer/dialer"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/pooler"
 	"github.com/magnoliastep/magnoliastep/internal/view/linker"
@@ -19,10 +20,6 @@
 const (
 	// peerDialTimeout bounds connecting to another node.
 	peerDialTimeout = 500 * time.Millisecond
-	// peerKeepAlive times show that a link went silent.
-	peerKeepAliveIdle     = time.Second
-	peerKeepAliveInterval = 500 * time.Millisecond
-	peerKeepAliveCount    = 3
 	// coldNodes is how many nodes call a cold leaf; each may send one call at once.
 	coldNodes = 4
 	// coldMargin is the part of a cold leaf's rate that is used.
@@ -163,8 +160,10 @@
 			ctx, cancel := context.WithTimeout(ctx, stallTime)
 			defer cancel()
 			// A report that is lost costs the receiver one late call.
-			_ = n.messenger.Send(ctx, address, messenger.PlaneControl,
-				&pb.Frame{Body: &pb.Frame_LeafStalls{LeafStalls: message}})
+			if err := n.messenger.Send(ctx, address, messenger.PlaneControl,
+				&pb.Frame{Body: &pb.Frame_LeafStalls{LeafStalls: message}}); err != nil {
+				n.config.Logger.Debug("stall not reported", "peer_address", address, "error", err)
+			}
 		}()
 	}
 }
@@ -179,8 +178,5 @@
 }
 
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: peerDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: peerKeepAliveIdle, Interval: peerKeepAliveInterval, Count: peerKeepAliveCount,
-	}}
-	return d.DialContext(ctx, "tcp", address)
+	return dialer.New(dialer.Config{Timeout: peerDialTimeout}).DialContext(ctx, "tcp", address)
 }
--- a/internal/upstream/exchanger/exchange.go
+++ b/internal/upstream/exchanger/exchange.go
@@ -85,7 +85,8 @@
 		Signature: response.Header.Get(names.Signature),
 	}
 	c.expires = time.Now().Add(idleTime(response.Header))
-	return reply, !response.Close && response.ContentLength != -1 || isChunked(response), true, nil
+	framed := response.ContentLength != -1 || len(response.TransferEncoding) > 0
+	return reply, framed && !response.Close, true, nil
 }
 
 func (e *Exchanger) readHead(c *connection, r Request) (*http.Response, error) {
@@ -120,10 +121,6 @@
 	return body, nil
 }
 
-func isChunked(response *http.Response) bool {
-	return !response.Close && len(response.TransferEncoding) > 0
-}
-
 // idleTime returns how long a connection may be kept, as the leaf states it.
 func idleTime(h http.Header) time.Duration {
 	for _, parameter := range strings.Split(h.Get("Keep-Alive"), ",") {
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -242,11 +242,8 @@
 	}
 	e.mutex.Unlock()
 	// The turn came meanwhile and goes to the next.
-	if c := <-turn; c != nil {
-		e.release(c, true)
-	} else {
-		e.release(nil, false)
-	}
+	c := <-turn
+	e.release(c, c != nil)
 	return nil, ctx.Err()
 }
 
