Parts of a fleet that lost each other divide a leaf's slots

Cause: in a partition both sides own a leaf and call it with all its slots; the load that the leaf reports holds them down to the cold slots at least only. Ruled out: letting only the larger side call (survivors of a large loss would stop), trusting the reported load further (it may mislead). Change: view/divider; the detector names members that fell silent without leaving, for ten minutes.

--- a/internal/leaf/dispatcher/dispatcher.go
+++ b/internal/leaf/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/sender"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
+	"github.com/magnoliastep/magnoliastep/internal/view/divider"
 	"github.com/magnoliastep/magnoliastep/internal/view/tenant"
 )
 
@@ -36,6 +37,8 @@
 		Ranked(leaf string) []*pb.Member
 		// OwnedBy returns the leaves that the node is first for.
 		OwnedBy(node string) []string
+		// Share returns which part of the nodes that may call the leaf this node sees.
+		Share(leaf string) divider.Share
 	}
 
 	// Tenure decides whether this node may dispatch to a leaf.
--- a/internal/leaf/dispatcher/dispatcher_test.go
+++ b/internal/leaf/dispatcher/dispatcher_test.go
@@ -19,6 +19,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/leaf/sender"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/result/coder"
+	"github.com/magnoliastep/magnoliastep/internal/view/divider"
 	"github.com/magnoliastep/magnoliastep/internal/view/tenant"
 )
 
@@ -100,6 +101,8 @@
 
 func (b *bed) OwnedBy(string) []string { return nil }
 
+func (b *bed) Share(string) divider.Share { return divider.Share{} }
+
 func (b *bed) LeavingVM(ip string) bool { return ip == "10.0.0.1" && b.leavingVM.Load() }
 
 func (t fakeTenure) Until(string) (time.Time, bool) {
--- a/internal/leaf/dispatcher/ownership.go
+++ b/internal/leaf/dispatcher/ownership.go
@@ -114,6 +114,7 @@
 			continue
 		}
 		l.configure(entry.Leaf)
+		l.limiter.SetShare(d.config.Ranks.Share(l.name))
 		l.observeBlocked()
 		d.reroute(l)
 		l.dispatch()
--- a/internal/leaf/limiter/limiter.go
+++ b/internal/leaf/limiter/limiter.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
+	"github.com/magnoliastep/magnoliastep/internal/view/divider"
 )
 
 const (
@@ -95,6 +96,7 @@
 		inFlight int
 		// handedOver is the calls that the former owner still has at the leaf.
 		handedOver int
+		share      divider.Share
 		// loads are the last foreign loads that the leaf reported, oldest first.
 		loads []int
 		// coldSuccesses doubles with each failed try to leave the cold slots.
@@ -194,6 +196,13 @@
 	l.handedOver = max(0, count)
 }
 
+// SetShare sets which part of the leaf's slots this side of a partition may use.
+func (l *Limiter) SetShare(s divider.Share) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.share = s
+}
+
 // Limit returns the present limit.
 func (l *Limiter) Limit() float64 {
 	l.mutex.Lock()
@@ -226,7 +235,10 @@
 // reported count in full. The load that the leaf reports may mislead, so it lowers the number to the cold
 // slots at most.
 func (l *Limiter) allowedLocked() int {
-	allowed := int(l.limit)
+	allowed := min(int(l.limit), l.share.Of(l.ceiling()))
+	if l.cold {
+		allowed = min(allowed, l.share.Of(l.coldSlots()))
+	}
 	if foreign := l.foreignLoad(); foreign > l.handedOver {
 		lowered := max(l.coldSlots(), l.ceiling()-foreign)
 		allowed = min(allowed, lowered)
--- a/internal/view/detector/detector.go
+++ b/internal/view/detector/detector.go
@@ -38,6 +38,7 @@
 	maxRetryPause   = time.Minute
 	maxCandidateGap = 10 * time.Minute
 	deadKeepFor     = time.Hour
+	partitionKeep   = 10 * time.Minute // regions lose each other for minutes
 
 	// manyRumours waiting to be sent show that asking for everything is cheaper than passing them on.
 	manyRumours   = 2 * maxRumours
@@ -124,6 +125,8 @@
 		// suspectedUntil ends a suspicion; meaningful for suspects only.
 		suspectedUntil time.Time
 		deadAt         time.Time
+		// lost is set while the member is dead, has not left and may still run behind a partition.
+		lost bool
 		retryAt        time.Time
 		retryPause     time.Duration
 	}
@@ -186,7 +189,18 @@
 	return d.members
 }
 
-// Generation changes whenever a member comes, goes or moves to another address.
+// Lost returns the members that fell silent of late without having left: they are gone, or behind a partition.
+func (d *Detector) Lost() []*pb.Member {
+	var lost []*pb.Member
+	for _, r := range d.records {
+		if r.lost {
+			lost = append(lost, r.claim)
+		}
+	}
+	return lost
+}
+
+// Generation changes whenever a member comes, goes, moves to another address or does not count as lost any more.
 func (d *Detector) Generation() uint64 {
 	d.refresh()
 	return d.generation
--- a/internal/view/detector/detector_test.go
+++ b/internal/view/detector/detector_test.go
@@ -115,3 +115,33 @@
 		})
 	}
 }
+
+// Members that fell silent count as lost for as long as a partition may last; members that left and successors
+// under the same name do not.
+func TestLostMembers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	d := newDetector()
+	alive := func(name string, startedAt int64) *pb.Member {
+		return member(name, name+":7300", startedAt, 1, pb.MemberState_MEMBER_STATE_ALIVE)
+	}
+	bury := func(name string, incarnation uint64) {
+		d.Learn(now, []*pb.Member{member(name, name+":7300", 1, incarnation, pb.MemberState_MEMBER_STATE_DEAD)})
+	}
+	for _, name := range []string{"silent", "left", "restarted"} {
+		d.Learn(now, []*pb.Member{alive(name, 1)})
+	}
+	d.Learn(now, []*pb.Member{member("left", "left:7300", 1, 1, pb.MemberState_MEMBER_STATE_LEAVING)})
+	is.Equal(len(d.Lost()), 0)
+	bury("silent", 1)
+	bury("left", 1)
+	bury("restarted", 1)
+	d.Learn(now, []*pb.Member{alive("restarted", 2)})
+	is.Equal(len(d.Lost()), 1)
+	is.Equal(d.Lost()[0].GetName(), "silent")
+
+	generation := d.Generation()
+	d.Expire(now.Add(11 * time.Minute))
+	is.Equal(len(d.Lost()), 0)
+	is.True(d.Generation() > generation) // shares are counted anew
+}
--- a/internal/view/detector/learn.go
+++ b/internal/view/detector/learn.go
@@ -65,6 +65,10 @@
 				addresses = append(addresses, dead.GetPeerAddress())
 			}
 		case pb.MemberState_MEMBER_STATE_DEAD:
+			if r.lost && now.Sub(r.deadAt) > partitionKeep {
+				r.lost = false
+				d.generation++
+			}
 			if now.Sub(r.deadAt) > deadKeepFor {
 				d.forget(name)
 			}
@@ -111,6 +115,7 @@
 func (d *Detector) enter(now time.Time, r *record, m *pb.Member) {
 	r.claim = m
 	r.accused = false
+	r.lost = m.GetState() == pb.MemberState_MEMBER_STATE_DEAD && !r.leaving
 	switch m.GetState() {
 	case pb.MemberState_MEMBER_STATE_SUSPECT:
 		r.suspectedUntil = now.Add(d.config.SuspicionPeriod)
--- a/internal/view/placer/placer.go
+++ b/internal/view/placer/placer.go
@@ -8,6 +8,7 @@
 
 	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/view/divider"
 	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
 )
 
@@ -21,7 +22,9 @@
 	View interface {
 		// Members returns the nodes that may own leaves, this one included.
 		Members() []*pb.Member
-		// Generation changes whenever Members changes.
+		// Lost returns the nodes that fell silent of late and may run behind a partition.
+		Lost() []*pb.Member
+		// Generation changes whenever Members or Lost changes.
 		Generation() uint64
 	}
 
@@ -45,6 +48,8 @@
 		ranked map[string][]*pb.Member
 		// owned has the leaves of each owner by its name; nil until it is asked for.
 		owned map[string][]string
+		// shares has the part of each region's nodes that this node sees.
+		shares map[string]divider.Share
 		// ranker ranks the members whose availability zone is in service, or all when none is.
 		ranker     *ranker.Ranker
 		generation uint64
@@ -95,6 +100,28 @@
 	return p.owned[node]
 }
 
+// Share returns which part of the nodes of the leaf's region this node sees, or which part of all nodes when none
+// is known in that region. Parts of a fleet that lost each other divide the leaf's slots by it.
+func (p *Placer) Share(leaf string) divider.Share {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.refresh()
+	entry, ok := p.index.Leaf(leaf)
+	if !ok {
+		return divider.Share{}
+	}
+	region := p.key(entry).Region
+	share, ok := p.shares[region]
+	if !ok {
+		share = divider.New(region, p.view.Members(), p.view.Lost())
+		if share.Empty() {
+			share = divider.New("", p.view.Members(), p.view.Lost())
+		}
+		p.shares[region] = share
+	}
+	return share
+}
+
 func (p *Placer) rankedLocked(leaf string) []*pb.Member {
 	if ranked, ok := p.ranked[leaf]; ok {
 		return ranked
@@ -123,6 +150,7 @@
 	p.index = index
 	p.ranked = map[string][]*pb.Member{}
 	p.owned = nil
+	p.shares = map[string]divider.Share{}
 	p.ranker = ranker.New(eligible(index, p.view.Members()))
 }
 
--- a/internal/view/prober/prober.go
+++ b/internal/view/prober/prober.go
@@ -119,6 +119,13 @@
 	return p.detector.Members()
 }
 
+// Lost returns the members that fell silent of late without having left.
+func (p *Prober) Lost() []*pb.Member {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.detector.Lost()
+}
+
 // Generation changes whenever a member comes, goes or moves.
 func (p *Prober) Generation() uint64 {
 	p.mutex.Lock()
--- a/internal/view/tenant/tenant_test.go
+++ b/internal/view/tenant/tenant_test.go
@@ -14,6 +14,7 @@
 
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/limiter"
+	"github.com/magnoliastep/magnoliastep/internal/view/divider"
 	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
 	"github.com/magnoliastep/magnoliastep/internal/view/tenant"
 )
@@ -285,8 +286,22 @@
 	}
 }
 
+// share divides the leaf by the nodes that answer of late and those that did before, as the view does.
+func (n *node) share() divider.Share {
+	present, lost := []*pb.Member{n.member}, []*pb.Member(nil)
+	for i, at := range n.heard {
+		if time.Duration(n.fleet.now-at)*step < n.fleet.suspicion {
+			present = append(present, n.fleet.nodes[i].member)
+		} else {
+			lost = append(lost, n.fleet.nodes[i].member)
+		}
+	}
+	return divider.New("", present, lost)
+}
+
 // dispatch keeps the leaf as full as tenure and limit allow. Some calls would run long.
 func (n *node) dispatch() {
+	n.limiter.SetShare(n.share())
 	for {
 		if _, ok := n.tenant.Until(leafName); !ok || !n.limiter.TryAcquire() {
 			return
