Waiting calls: clean connections, and a leaf is not blamed for a call that got no turn; news is pulled once

Change: one way to take an idle connection; ErrNoTurn and scorer.Unsent; notices are followed one after the other, the next when the last takes 100 ms; the ranking is kept for a generation of the view; frames and bytes to other nodes are counted by kind. Tests that failed first: TestAWaitingRequestGetsACleanConnection (2 connections, 3 wanted), TestNewsIsPulledOnce (230 documents handed over to 91 nodes, 90 needed; now 90), TestRequestsThatWait with the new error.

--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -44,6 +44,8 @@
 	switch {
 	case err != nil && n.wanted.Err() != nil:
 		return scorer.Abandoned
+	case errors.Is(err, exchanger.ErrNoTurn):
+		return scorer.Unsent
 	case err != nil:
 		return scorer.Failure
 	case reply.NotRun:
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -49,7 +49,7 @@
 		answer := n.prober.HandleIndirect(ctx, body.IndirectProbe)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ProbeReply{ProbeReply: answer}})
 	case *pb.Frame_DocumentNotice:
-		n.spreader.HandleNotice(ctx, f.GetFrom(), body.DocumentNotice)
+		n.spreader.HandleNotice(ctx, body.DocumentNotice)
 	case *pb.Frame_DocumentPull:
 		answer := n.spreader.HandlePull(body.DocumentPull)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_Documents{Documents: answer}})
@@ -105,14 +105,25 @@
 	return int(max(1, n.serving.count.Load()))
 }
 
+// ranking ranks the live nodes. It is computed anew only after a change of the view: every look for the reader of the
+// store and every call of a cold leaf needs it.
+func (n *Node) ranking() *ranker.Ranker {
+	generation := n.prober.Generation()
+	n.ranked.mutex.Lock()
+	defer n.ranked.mutex.Unlock()
+	if n.ranked.ranker == nil || n.ranked.generation != generation {
+		n.ranked.generation, n.ranked.ranker = generation, ranker.New(n.prober.Members())
+	}
+	return n.ranked.ranker
+}
+
 // coldShare returns which part of a cold leaf's rate this node may use. In a large fleet only a few nodes, the
 // same in the view of all, may call it.
 func (n *Node) coldShare(leafID string) float64 {
-	members := n.prober.Members()
-	if len(members) <= coldNodes {
-		return coldMargin / float64(max(1, len(members)))
+	if members := len(n.prober.Members()); members <= coldNodes {
+		return coldMargin / float64(max(1, members))
 	}
-	for _, m := range ranker.New(members).Leading(ranker.Key{Name: leafID}, coldNodes) {
+	for _, m := range n.ranking().Leading(ranker.Key{Name: leafID}, coldNodes) {
 		if m.GetName() == n.config.NodeName {
 			return coldMargin / coldNodes
 		}
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -31,6 +31,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/upstream/pooler"
 	"github.com/magnoliastep/magnoliastep/internal/view/linker"
 	"github.com/magnoliastep/magnoliastep/internal/view/prober"
+	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
 )
 
 const (
@@ -133,6 +134,12 @@
 			generation atomic.Uint64
 			count      atomic.Int64
 		}
+		// ranked has the ranking of the view's generation.
+		ranked struct {
+			mutex      sync.Mutex
+			generation uint64
+			ranker     *ranker.Ranker
+		}
 		// stalls has leaves that other nodes are to be told of.
 		stalls chan stall
 	}
@@ -167,8 +174,8 @@
 	c := n.config
 	n.messenger = messenger.New(messenger.Config{
 		NodeName: c.NodeName, Handler: n, Logger: c.Logger, Dial: dialPeer,
-		KeptLinks: keptLinks,
-		Digest:    func() uint64 { return 0 }, ObserveDigest: func(string, uint64) {},
+		KeptLinks: keptLinks, Sent: n.observeFrame,
+		Digest: func() uint64 { return 0 }, ObserveDigest: func(string, uint64) {},
 	})
 	n.prober = prober.New(prober.Config{
 		Self: n.self(), Messenger: n.messenger, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
--- a/internal/node/forwarder/measure.go
+++ b/internal/node/forwarder/measure.go
@@ -39,6 +39,12 @@
 	}
 }
 
+// observeFrame counts what this node writes to others.
+func (n *Node) observeFrame(kind string, bytes int) {
+	n.config.Metrics.GetOrCreateCounter(`stepfront_peer_frames_total{kind="` + kind + `"}`).Inc()
+	n.config.Metrics.GetOrCreateCounter(`stepfront_peer_bytes_total{kind="` + kind + `"}`).Add(bytes)
+}
+
 func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	n.config.Metrics.WritePrometheus(w)
 }
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -32,6 +32,9 @@
 	// keptLinks are kept open however idle they are; above them, links idle for idlePeriod are closed.
 	keptLinks  = 64
 	idlePeriod = 15 * time.Second
+
+	// frameBody is the name of the schema's choice of frame bodies.
+	frameBody = "body"
 )
 
 const (
@@ -70,7 +73,9 @@
 		Dial func(ctx context.Context, address string) (net.Conn, error)
 		// KeptLinks are kept open however idle they are; zero means 64.
 		KeptLinks int
-		Logger    *slog.Logger
+		// Sent is told of each frame that was written, by the name of its body in the schema; nil means nobody is.
+		Sent   func(kind string, bytes int)
+		Logger *slog.Logger
 	}
 
 	// Messenger holds the links to all peers. It is safe for concurrent use.
@@ -125,6 +130,20 @@
 	return m.sentBytes.Load()
 }
 
+// sent counts a frame that was written.
+func (m *Messenger) sent(f *pb.Frame, bytes int) {
+	m.sentBytes.Add(uint64(bytes))
+	if m.config.Sent == nil {
+		return
+	}
+	message := f.ProtoReflect()
+	kind := "none"
+	if field := message.WhichOneof(message.Descriptor().Oneofs().ByName(frameBody)); field != nil {
+		kind = string(field.Name())
+	}
+	m.config.Sent(kind, bytes)
+}
+
 // Call sends a frame and waits for its one reply.
 func (m *Messenger) Call(ctx context.Context, address string, plane Plane, frame *pb.Frame) (*pb.Frame, error) {
 	type outcome struct {
--- a/internal/peer/messenger/writer.go
+++ b/internal/peer/messenger/writer.go
@@ -88,7 +88,7 @@
 		if err != nil {
 			return errors.Wrap(err, "write frame")
 		}
-		w.messenger.sentBytes.Add(uint64(n))
+		w.messenger.sent(f, n)
 		select {
 		case f = <-w.queue:
 		default:
--- a/internal/records/spreader/spreader.go
+++ b/internal/records/spreader/spreader.go
@@ -27,6 +27,9 @@
 	forwardAge = 300 * time.Millisecond
 	// callTimeout bounds one pull.
 	callTimeout = 800 * time.Millisecond
+	// pullPatience is how long a pull may last until another node is asked as well: an answer takes two ways between
+	// zones, some milliseconds.
+	pullPatience = 100 * time.Millisecond
 )
 
 type (
@@ -67,14 +70,16 @@
 		config Config
 		news   chan struct{}
 		mutex  sync.Mutex
-		// pulling has the addresses that are being asked.
-		pulling map[string]bool
+		// offers has the last notice of each peer address that may know more.
+		offers map[string]*pb.DocumentNotice
+		// following is set while a goroutine goes through the offers.
+		following bool
 	}
 )
 
 // New returns a Spreader.
 func New(c Config) *Spreader {
-	return &Spreader{config: c, news: make(chan struct{}, 1), pulling: map[string]bool{}}
+	return &Spreader{config: c, news: make(chan struct{}, 1), offers: map[string]*pb.DocumentNotice{}}
 }
 
 // Announce says that this node has news from the store.
@@ -103,7 +108,7 @@
 }
 
 // HandleNotice takes what another node knows and asks it for what this node lacks.
-func (s *Spreader) HandleNotice(ctx context.Context, from string, n *pb.DocumentNotice) {
+func (s *Spreader) HandleNotice(ctx context.Context, n *pb.DocumentNotice) {
 	behind, confirmed := false, false
 	for _, p := range n.GetPositions() {
 		known := s.config.Replica.Position(p.GetKind())
@@ -118,13 +123,74 @@
 	if confirmed && s.config.Forward() {
 		s.Announce()
 	}
-	if !behind || !s.begin(n.GetPeerAddress()) {
+	if behind {
+		s.follow(ctx, n)
+	}
+}
+
+// follow asks the sender of a notice for what this node lacks. Several nodes send the same notice at nearly the same
+// time: they are asked one after the other, the next one when the last takes long, until nothing is lacking.
+func (s *Spreader) follow(ctx context.Context, n *pb.DocumentNotice) {
+	if !s.offer(n) {
 		return
 	}
-	defer s.end(n.GetPeerAddress())
-	if err := s.Pull(context.WithoutCancel(ctx), n.GetPeerAddress()); err != nil {
-		s.config.Logger.Info("documents not pulled", "peer", from, "error", err)
+	for {
+		offered := s.nextOffer()
+		if offered == nil {
+			return
+		}
+		if !s.behind(offered) {
+			continue
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			address := offered.GetPeerAddress()
+			if err := s.Pull(context.WithoutCancel(ctx), address); err != nil {
+				s.config.Logger.Info("documents not pulled", "peer_address", address, "error", err)
+			}
+		}()
+		timer := s.config.Clock.NewTimer(pullPatience)
+		select {
+		case <-done:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// offer keeps the notice of a node that knows more and returns true when nobody follows such notices now.
+func (s *Spreader) offer(n *pb.DocumentNotice) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.offers[n.GetPeerAddress()] = n
+	if s.following {
+		return false
+	}
+	s.following = true
+	return true
+}
+
+// nextOffer returns one of the notices kept, or nil when none is left.
+func (s *Spreader) nextOffer() *pb.DocumentNotice {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for address, n := range s.offers {
+		delete(s.offers, address)
+		return n
+	}
+	s.following = false
+	return nil
+}
+
+// behind tells whether this node knows less of a kind than the sender of a notice.
+func (s *Spreader) behind(n *pb.DocumentNotice) bool {
+	for _, p := range n.GetPositions() {
+		if p.GetRevision() > s.config.Replica.Position(p.GetKind()).Revision {
+			return true
+		}
 	}
+	return false
 }
 
 // Pull asks one node for what this node lacks.
@@ -230,19 +296,3 @@
 	}
 	return s.config.Clock.Now().Add(-p.GetConfirmedAgo().AsDuration())
 }
-
-func (s *Spreader) begin(address string) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.pulling[address] {
-		return false
-	}
-	s.pulling[address] = true
-	return true
-}
-
-func (s *Spreader) end(address string) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	delete(s.pulling, address)
-}
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -42,6 +42,8 @@
 var (
 	// ErrNotSent says that no byte of the request left this node: it has not run.
 	ErrNotSent = errors.New("leaf: not sent")
+	// ErrNoTurn is an ErrNotSent: no connection became free in time, which says nothing about the leaf.
+	ErrNoTurn = errors.Wrap(ErrNotSent, "no connection became free")
 	// ErrBroken says that the connection ended or carried no whole answer: the request may have run.
 	ErrBroken = errors.New("leaf: no whole answer")
 )
@@ -174,6 +176,9 @@
 // called just before the first byte leaves.
 func (e *Exchanger) Do(ctx, wanted context.Context, r Request, sent func()) (*Reply, error) {
 	c, err := e.acquire(wanted, r.SendBy)
+	if errors.Is(err, ErrNoTurn) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, errors.CombineErrors(ErrNotSent, err)
 	}
@@ -194,22 +199,13 @@
 func (e *Exchanger) acquire(ctx context.Context, sendBy time.Time) (*connection, error) {
 	now := time.Now()
 	e.mutex.Lock()
-	for len(e.idle) > 0 && e.busy < e.allowedNow() {
-		c := e.idle[len(e.idle)-1]
-		e.idle = e.idle[:len(e.idle)-1]
-		if now.Before(c.expires) && !c.readable() {
-			e.busy++
-			e.mutex.Unlock()
-			return c, nil
-		}
-		e.open--
-		_ = c.Close()
-	}
 	if e.busy < e.allowedNow() {
-		e.open++
-		e.busy++
+		c := e.takeLocked(now)
 		e.mutex.Unlock()
-		return e.dial(ctx)
+		if c == nil {
+			return e.dial(ctx)
+		}
+		return c, nil
 	}
 	turn := make(chan *connection, 1)
 	e.waiting = append(e.waiting, turn)
@@ -217,6 +213,23 @@
 	return e.await(ctx, turn, sendBy)
 }
 
+// takeLocked returns an idle connection that may carry a request, or nil as leave to open another.
+func (e *Exchanger) takeLocked(now time.Time) *connection {
+	e.busy++
+	for len(e.idle) > 0 {
+		last := len(e.idle) - 1
+		c := e.idle[last]
+		e.idle = e.idle[:last]
+		if now.Before(c.expires) && !c.readable() {
+			return c
+		}
+		e.open--
+		_ = c.Close()
+	}
+	e.open++
+	return nil
+}
+
 // await waits for a connection to become free; a nil one is leave to open another.
 func (e *Exchanger) await(ctx context.Context, turn chan *connection, sendBy time.Time) (*connection, error) {
 	if !sendBy.IsZero() {
@@ -237,14 +250,14 @@
 		if w == turn {
 			e.waiting = append(e.waiting[:i], e.waiting[i+1:]...)
 			e.mutex.Unlock()
-			return nil, ctx.Err()
+			return nil, errors.Wrap(ErrNoTurn, ctx.Err().Error())
 		}
 	}
 	e.mutex.Unlock()
 	// The turn came meanwhile and goes to the next.
 	c := <-turn
 	e.release(c, c != nil)
-	return nil, ctx.Err()
+	return nil, errors.Wrap(ErrNoTurn, ctx.Err().Error())
 }
 
 // dial opens a connection for which open is counted already.
@@ -282,14 +295,7 @@
 // wakeLocked gives connections, or leave to open one, to requests that wait.
 func (e *Exchanger) wakeLocked() {
 	for len(e.waiting) > 0 && e.busy < e.allowedNow() {
-		var c *connection
-		if last := len(e.idle) - 1; last >= 0 {
-			c = e.idle[last]
-			e.idle = e.idle[:last]
-		} else {
-			e.open++
-		}
-		e.busy++
+		c := e.takeLocked(time.Now())
 		// The newest goes first: under overload the oldest would be answered just too late, one after the other.
 		last := len(e.waiting) - 1
 		e.waiting[last] <- c
--- a/internal/upstream/scorer/scorer.go
+++ b/internal/upstream/scorer/scorer.go
@@ -35,6 +35,8 @@
 	Rejection
 	// Abandoned is a call whose answer was not waited for.
 	Abandoned
+	// Unsent is a call that never got a connection. It says nothing about the leaf.
+	Unsent
 )
 
 type (
@@ -91,6 +93,7 @@
 		s.stalledUntil = time.Time{}
 	case Failure, Rejection:
 		s.failures += learnRate * (1 - s.failures)
+	case Unsent:
 	case Abandoned:
 		if ratio > s.factor {
 			s.factor += learnRate * (ratio - s.factor)
--- a/internal/view/detector/detector.go
+++ b/internal/view/detector/detector.go
@@ -126,9 +126,9 @@
 		suspectedUntil time.Time
 		deadAt         time.Time
 		// lost is set while the member is dead, has not left and may still run behind a partition.
-		lost bool
-		retryAt        time.Time
-		retryPause     time.Duration
+		lost       bool
+		retryAt    time.Time
+		retryPause time.Duration
 	}
 
 	candidate struct {
