--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -38,6 +38,8 @@
 
 func (v fixedView) Members() []*pb.Member { return v.members }
 
+func (v fixedView) Lost() []*pb.Member { return nil }
+
 func (v fixedView) Generation() uint64 { return 1 }
 
 func (noHandler) HandleFrame(context.Context, *pb.Frame, func(*pb.Frame)) {}
