--- a/internal/records/spreader/spreader_test.go
+++ b/internal/records/spreader/spreader_test.go
@@ -103,8 +103,9 @@
 	return f
 }
 
-// learn gives a node news from the store.
-func (f *fleet) learn(name string, revision int64) {
+// learn gives the first node news from the store.
+func (f *fleet) learn(revision int64) {
+	name := f.names[0]
 	f.replica[name].ApplyList(kind, []replicator.Document{{Kind: kind, Name: "a", Revision: revision}}, revision,
 		time.Now())
 	f.spreader[name].Announce()
@@ -127,7 +128,7 @@
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
 				f := newFleet(ctx, nodes)
-				f.learn("node-0", 7)
+				f.learn(7)
 				time.Sleep(within)
 				is.Equal(f.knowing(7), nodes)
 				confirmedAt := time.Now()
@@ -150,7 +151,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newFleet(ctx, 5)
 		f.cut.Store("node-3", true)
-		f.learn("node-0", 7)
+		f.learn(7)
 		time.Sleep(5 * time.Second)
 		is.Equal(f.knowing(7), 4)
 		f.cut.Delete("node-3")
@@ -169,7 +170,7 @@
 		const nodes = 91
 		ctx, cancel := context.WithCancel(t.Context())
 		f := newFleet(ctx, nodes)
-		f.learn("node-0", 7)
+		f.learn(7)
 		time.Sleep(200 * time.Millisecond)
 		is.Equal(f.knowing(7), nodes)
 		is.Equal(f.handedOver.Load(), int64(nodes-1))
@@ -179,7 +180,7 @@
 				f.deaf.Store(name, true)
 			}
 		}
-		f.learn("node-0", 8)
+		f.learn(8)
 		time.Sleep(700 * time.Millisecond)
 		is.Equal(f.knowing(8), nodes)
 		cancel()
