No reports of late leaf calls between nodes

Ruled out: bounding them; there is no gain to keep. Change: frames, scorer's reports and the goroutine are gone.

--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -55,8 +55,6 @@
 		Budget func() budgeter.Config
 		// Nodes returns the number of live nodes, which share the budgets.
 		Nodes func() int
-		// Stalled is told of a leaf whose open call is late, and since when; nil means nobody is.
-		Stalled func(leaf *pooler.Leaf, since time.Time)
 		// Misdirected is told of a leaf at whose address another process answered; nil means nobody is.
 		Misdirected func(leaf *pooler.Leaf)
 	}
--- a/internal/forward/gatherer/sending.go
+++ b/internal/forward/gatherer/sending.go
@@ -27,7 +27,6 @@
 			n.sendAgain(i, now, s.budget.TakeRetry, &n.result.Retries)
 			continue
 		}
-		n.reportLate(s, now)
 		if n.request.Route.Idempotent {
 			n.sendAgain(i, now, s.budget.TakeHedge, &n.result.Hedges)
 		} else {
@@ -129,18 +128,3 @@
 	}
 	return false
 }
-
-// reportLate tells others of leaves whose open calls are late.
-func (n *run) reportLate(s *shard, now time.Time) {
-	if n.gatherer.config.Stalled == nil {
-		return
-	}
-	for _, t := range s.tried {
-		if !t.open {
-			continue
-		}
-		if since, late := t.leaf.Scorer().Late(now, n.typical); late {
-			n.gatherer.config.Stalled(t.leaf, since)
-		}
-	}
-}
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -7,12 +7,8 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/types/known/durationpb"
-
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/peer/dialer"
-	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
-	"github.com/magnoliastep/magnoliastep/internal/upstream/pooler"
 	"github.com/magnoliastep/magnoliastep/internal/view/linker"
 	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
 )
@@ -24,22 +20,10 @@
 	coldNodes = 4
 	// coldMargin is the part of a cold leaf's rate that is used.
 	coldMargin = 0.9
-	// maxStalls is how many stalled leaves wait to be told to others.
-	maxStalls = 64
-	// stallTime is how long the others avoid a stalled leaf without hearing of it again.
-	stallTime = 150 * time.Millisecond
-	// stallPause is the time between two reports of the same leaf.
-	stallPause = 60 * time.Millisecond
 	// keptLinks is how many links to other nodes stay open when idle; a node needs about seven in a large fleet.
 	keptLinks = 16
 )
 
-// stall is a leaf with an open call that is late.
-type stall struct {
-	leafID string
-	since  time.Time
-}
-
 // HandleFrame handles the frames of other nodes.
 func (n *Node) HandleFrame(ctx context.Context, f *pb.Frame, reply func(*pb.Frame)) {
 	switch body := f.GetBody().(type) {
@@ -53,8 +37,6 @@
 	case *pb.Frame_DocumentPull:
 		answer := n.spreader.HandlePull(body.DocumentPull)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_Documents{Documents: answer}})
-	case *pb.Frame_LeafStalls:
-		n.handleStalls(body.LeafStalls)
 	default:
 		n.config.Logger.Warn("frame is not known", "from", f.GetFrom())
 	}
@@ -131,63 +113,6 @@
 	return 0
 }
 
-// reportStall passes a stalled leaf on to the goroutine that tells others; it never blocks.
-func (n *Node) reportStall(l *pooler.Leaf, since time.Time) {
-	select {
-	case n.stalls <- stall{leafID: l.Entry().ID, since: since}:
-	default:
-	}
-}
-
-// sendStalls tells the other nodes of stalled leaves, each leaf now and then.
-func (n *Node) sendStalls(ctx context.Context) {
-	toldAt := map[string]time.Time{}
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case s := <-n.stalls:
-			now := time.Now()
-			if now.Sub(toldAt[s.leafID]) < stallPause {
-				continue
-			}
-			if len(toldAt) > 4*maxStalls {
-				clear(toldAt)
-			}
-			toldAt[s.leafID] = now
-			n.sendStall(ctx, s, now)
-		}
-	}
-}
-
-func (n *Node) sendStall(ctx context.Context, s stall, now time.Time) {
-	message := &pb.LeafStalls{Stalls: []*pb.LeafStall{{LeafId: s.leafID, Age: durationpb.New(now.Sub(s.since))}}}
-	for _, m := range n.namer.ServingMembers() {
-		address := m.GetPeerAddress()
-		if m.GetName() == n.config.NodeName {
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, stallTime)
-			defer cancel()
-			// A report that is lost costs the receiver one late call.
-			if err := n.messenger.Send(ctx, address, messenger.PlaneControl,
-				&pb.Frame{Body: &pb.Frame_LeafStalls{LeafStalls: message}}); err != nil {
-				n.config.Logger.Debug("stall not reported", "peer_address", address, "error", err)
-			}
-		}()
-	}
-}
-
-func (n *Node) handleStalls(m *pb.LeafStalls) {
-	now := time.Now()
-	for _, s := range m.GetStalls() {
-		if l := n.pooler.Leaf(s.GetLeafId()); l != nil {
-			l.Scorer().ReportStall(now.Add(-s.GetAge().AsDuration()), now.Add(stallTime))
-		}
-	}
-}
-
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
 	return dialer.New(dialer.Config{Timeout: peerDialTimeout}).DialContext(ctx, "tcp", address)
 }
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -140,14 +140,12 @@
 			generation uint64
 			ranker     *ranker.Ranker
 		}
-		// stalls has leaves that other nodes are to be told of.
-		stalls chan stall
 	}
 )
 
 // New assembles a node that does nothing yet.
 func New(c Config) *Node {
-	n := &Node{config: c, startedAt: c.Clock.Now(), evacuated: map[string]bool{}, stalls: make(chan stall, maxStalls)}
+	n := &Node{config: c, startedAt: c.Clock.Now(), evacuated: map[string]bool{}}
 	n.bounds.Store(&c.Bounds)
 	n.readerSpread = rand.N(lateReaderSpread) //nolint:gosec // spreads load only
 	n.assembleFleet()
@@ -200,7 +198,6 @@
 	})
 	n.gatherer = gatherer.New(gatherer.Config{
 		Pool: n.pooler, Budget: n.budget, Nodes: n.servingNodes,
-		Stalled: n.reportStall,
 		Misdirected: func(l *pooler.Leaf) {
 			c.Logger.Info("leaf answered for another", "leaf", l.Entry().ID, "address", l.Entry().Address)
 		},
@@ -257,5 +254,4 @@
 	}
 	go n.spreader.Run(ctx)
 	go n.join(ctx)
-	go n.sendStalls(ctx)
 }
--- a/internal/upstream/scorer/scorer.go
+++ b/internal/upstream/scorer/scorer.go
@@ -54,10 +54,6 @@
 		updatedAt time.Time
 		// open has the start of each open call, oldest first.
 		open []time.Time
-		// stalledSince is the start of a call that another node reported as stalled.
-		stalledSince time.Time
-		// stalledUntil is when that report lapses.
-		stalledUntil time.Time
 	}
 )
 
@@ -90,7 +86,6 @@
 	case Success:
 		s.factor += learnRate * (ratio - s.factor)
 		s.failures -= learnRate * s.failures
-		s.stalledUntil = time.Time{}
 	case Failure, Rejection:
 		s.failures += learnRate * (1 - s.failures)
 	case Unsent:
@@ -101,13 +96,6 @@
 	}
 }
 
-// ReportStall takes note that another node has an open call at the leaf that is late by then.
-func (s *Scorer) ReportStall(startedAt, until time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.stalledSince, s.stalledUntil = startedAt, until
-}
-
 // Open returns the number of open calls.
 func (s *Scorer) Open() int {
 	s.mutex.Lock()
@@ -137,31 +125,17 @@
 	return time.Duration(float64(typical) * s.factor)
 }
 
-// Late returns the start of the oldest open call if it is so old that the leaf seems stalled.
-func (s *Scorer) Late(now time.Time, typical time.Duration) (time.Time, bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if len(s.open) == 0 {
-		return time.Time{}, false
-	}
-	base := time.Duration(float64(typical) * s.factor)
-	return s.open[0], now.Sub(s.open[0]) > stallFactor*base+stallSlack
-}
-
 // stall returns how much longer an answer takes than the leaf's own time, judged by calls that are late. What
 // has lasted long lasts longer: the age is the best guess of what is left.
 func (s *Scorer) stall(now time.Time, base time.Duration) time.Duration {
-	since := time.Time{}
-	if now.Before(s.stalledUntil) {
-		since = s.stalledSince
-	}
-	if len(s.open) > 0 && now.Sub(s.open[0]) > stallFactor*base+stallSlack && (since.IsZero() || s.open[0].Before(since)) {
-		since = s.open[0]
+	if len(s.open) == 0 {
+		return 0
 	}
-	if since.IsZero() {
+	age := now.Sub(s.open[0])
+	if age <= stallFactor*base+stallSlack {
 		return 0
 	}
-	return now.Sub(since)
+	return age
 }
 
 // fade lets the belief move towards that of a typical leaf.
