--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -31,13 +31,13 @@
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/leaf/dispatcher"
+	"github.com/magnoliastep/magnoliastep/internal/leaf/placer"
 	"github.com/magnoliastep/magnoliastep/internal/operator/pager"
 	operatorserver "github.com/magnoliastep/magnoliastep/internal/operator/server"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/peer/router"
 	"github.com/magnoliastep/magnoliastep/internal/platform/client"
 	"github.com/magnoliastep/magnoliastep/internal/view/lister"
-	"github.com/magnoliastep/magnoliastep/internal/view/placer"
 	"github.com/magnoliastep/magnoliastep/internal/view/prober"
 )
 
--- a/internal/node/assembler/view.go
+++ b/internal/node/assembler/view.go
@@ -11,8 +11,8 @@
 	"github.com/magnoliastep/magnoliastep/internal/config/relayer"
 	"github.com/magnoliastep/magnoliastep/internal/config/watcher"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/leaf/placer"
 	"github.com/magnoliastep/magnoliastep/internal/view/lister"
-	"github.com/magnoliastep/magnoliastep/internal/view/placer"
 	"github.com/magnoliastep/magnoliastep/internal/view/prober"
 )
 
--- a/internal/view/detector/detector.go
+++ b/internal/view/detector/detector.go
@@ -189,17 +189,6 @@
 	return d.members
 }
 
-// Lost returns the members that fell silent of late without having left: they are gone, or behind a partition.
-func (d *Detector) Lost() []*pb.Member {
-	var lost []*pb.Member
-	for _, r := range d.records {
-		if r.lost {
-			lost = append(lost, r.claim)
-		}
-	}
-	return lost
-}
-
 // Generation changes whenever a member comes, goes, moves to another address or does not count as lost any more.
 func (d *Detector) Generation() uint64 {
 	d.refresh()
--- a/internal/view/detector/learn.go
+++ b/internal/view/detector/learn.go
@@ -81,6 +81,17 @@
 	return addresses
 }
 
+// Lost returns the members that fell silent of late without having left: they are gone, or behind a partition.
+func (d *Detector) Lost() []*pb.Member {
+	var lost []*pb.Member
+	for _, r := range d.records {
+		if r.lost {
+			lost = append(lost, r.claim)
+		}
+	}
+	return lost
+}
+
 // take replaces what is known of another node when the claim is newer.
 func (d *Detector) take(now time.Time, m *pb.Member) bool {
 	r := d.records[m.GetName()]
--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -18,8 +18,8 @@
 	"github.com/magnoliastep/magnoliastep/internal/config/indexer"
 	"github.com/magnoliastep/magnoliastep/internal/config/keeper"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/leaf/placer"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
-	"github.com/magnoliastep/magnoliastep/internal/view/placer"
 )
 
 const (
