Metrics of services, routes and waiting calls; those of dropped routes end

Metrics of routes and services that a new configuration does not have are dropped: they grew with each change of a process that runs for months.

--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -37,7 +37,8 @@
 		late := float64(now.Sub(sentAt)) > lateShare*float64(n.request.Route.TargetLatency)
 		leaf.Exchanger().Adapt(sentAt, now, late)
 	}
-	n.events <- event{shard: i, attempt: attempt, reply: reply, err: err, took: now.Sub(startedAt)}
+	queued := now.Sub(startedAt) - took
+	n.events <- event{shard: i, attempt: attempt, reply: reply, err: err, took: now.Sub(startedAt), queued: queued}
 }
 
 func (n *run) outcome(reply *exchanger.Reply, err error) scorer.Outcome {
@@ -62,6 +63,7 @@
 	s := &n.shards[e.shard]
 	s.open--
 	n.openCalls--
+	n.result.Queued = max(n.result.Queued, e.queued)
 	s.tried[e.attempt].open = false
 	if s.done {
 		return
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -91,6 +91,8 @@
 		Blocked int
 		// Failed names the leaves whose calls failed, in order.
 		Failed []string
+		// Queued is the longest time that a call waited for a connection.
+		Queued time.Duration
 		// NoLeaf names the services that had no leaf to call.
 		NoLeaf []string
 	}
--- a/internal/forward/gatherer/run.go
+++ b/internal/forward/gatherer/run.go
@@ -69,6 +69,8 @@
 		reply          *exchanger.Reply
 		err            error
 		took           time.Duration
+		// queued is the part of took that the call waited for a connection.
+		queued time.Duration
 	}
 )
 
--- a/internal/forward/matcher/matcher.go
+++ b/internal/forward/matcher/matcher.go
@@ -117,6 +117,24 @@
 	return m.services[name]
 }
 
+// RouteNames returns the names of all routes.
+func (m *Matcher) RouteNames() []string {
+	names := make([]string, 0, len(m.config.Routes))
+	for _, r := range m.config.Routes {
+		names = append(names, r.Name)
+	}
+	return names
+}
+
+// ServiceNames returns the names of all services.
+func (m *Matcher) ServiceNames() []string {
+	names := make([]string, 0, len(m.config.Services))
+	for _, s := range m.config.Services {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
 // Version returns the version of the configuration.
 func (m *Matcher) Version() int64 {
 	return m.config.Version
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -158,7 +158,8 @@
 		services[s.Name] = pooler.Service{MaxConnections: s.MaxConnections, WarmUpRate: s.WarmUpRate}
 	}
 	n.pooler.Declare(services)
-	n.matcher.Store(matcher.New(c))
+	m := matcher.New(c)
+	n.dropMetrics(n.matcher.Swap(m), m)
 	n.config.Logger.Info("configuration in force", "config_version", c.Version, "revision", d.Revision,
 		"routes", len(c.Routes), "services", len(c.Services))
 }
--- a/internal/upstream/pooler/pooler.go
+++ b/internal/upstream/pooler/pooler.go
@@ -224,9 +224,14 @@
 
 // Usable returns how many leaves of a service may be called.
 func (p *Pooler) Usable(service string) int {
+	return len(p.UsableLeaves(service))
+}
+
+// UsableLeaves returns the leaves of a service that may be called. The slice must not be changed.
+func (p *Pooler) UsableLeaves(service string) []*Leaf {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return len(p.services[service])
+	return p.services[service]
 }
 
 // Pick returns the leaf of the service with the least expected time to an answer, and that time, or nil when
