--- a/internal/leaf/limiter/limiter.go
+++ b/internal/leaf/limiter/limiter.go
@@ -96,7 +96,8 @@
 		inFlight int
 		// handedOver is the calls that the former owner still has at the leaf.
 		handedOver int
-		share      divider.Share
+		// share is this side's part of the slots while the fleet has lost nodes; its zero value means all of them.
+		share divider.Share
 		// loads are the last foreign loads that the leaf reported, oldest first.
 		loads []int
 		// coldSuccesses doubles with each failed try to leave the cold slots.
