--- a/internal/leaf/limiter/limiter.go
+++ b/internal/leaf/limiter/limiter.go
@@ -197,7 +197,7 @@
 	l.handedOver = max(0, count)
 }
 
-// SetShare sets which part of the leaf's slots this side of a partition may use.
+// SetShare sets which part of the leaf's slots this side of a network partition may use.
 func (l *Limiter) SetShare(s divider.Share) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/leaf/placer/placer.go
+++ b/internal/leaf/placer/placer.go
@@ -22,7 +22,7 @@
 	View interface {
 		// Members returns the nodes that may own leaves, this one included.
 		Members() []*pb.Member
-		// Lost returns the nodes that fell silent of late and may run behind a partition.
+		// Lost returns the nodes that fell silent of late and may run behind a network partition.
 		Lost() []*pb.Member
 		// Generation changes whenever Members or Lost changes.
 		Generation() uint64
--- a/internal/view/detector/detector.go
+++ b/internal/view/detector/detector.go
@@ -38,7 +38,7 @@
 	maxRetryPause   = time.Minute
 	maxCandidateGap = 10 * time.Minute
 	deadKeepFor     = time.Hour
-	partitionKeep   = 10 * time.Minute // regions lose each other for minutes
+	lostKeepFor     = 10 * time.Minute // regions lose each other for minutes
 
 	// manyRumours waiting to be sent show that asking for everything is cheaper than passing them on.
 	manyRumours   = 2 * maxRumours
@@ -125,7 +125,7 @@
 		// suspectedUntil ends a suspicion; meaningful for suspects only.
 		suspectedUntil time.Time
 		deadAt         time.Time
-		// lost is set while the member is dead, has not left and may still run behind a partition.
+		// lost is set while the member is dead, has not left and may still run behind a network partition.
 		lost       bool
 		retryAt    time.Time
 		retryPause time.Duration
--- a/internal/view/detector/learn.go
+++ b/internal/view/detector/learn.go
@@ -65,7 +65,7 @@
 				addresses = append(addresses, dead.GetPeerAddress())
 			}
 		case pb.MemberState_MEMBER_STATE_DEAD:
-			if r.lost && now.Sub(r.deadAt) > partitionKeep {
+			if r.lost && now.Sub(r.deadAt) > lostKeepFor {
 				r.lost = false
 				d.generation++
 			}
@@ -81,7 +81,7 @@
 	return addresses
 }
 
-// Lost returns the members that fell silent of late without having left: they are gone, or behind a partition.
+// Lost returns the members that fell silent of late without having left: they are gone, or behind a network partition.
 func (d *Detector) Lost() []*pb.Member {
 	var lost []*pb.Member
 	for _, r := range d.records {
--- a/internal/view/divider/divider.go
+++ b/internal/view/divider/divider.go
@@ -8,7 +8,7 @@
 )
 
 type (
-	// Share is the part of the nodes that one side of a partition sees. The zero value is a whole fleet.
+	// Share is the part of the nodes that one side of a network partition sees. The zero value is a whole fleet.
 	Share struct {
 		// present and known count nodes; known includes the present ones.
 		present, known int
