One value for what follows from the view; what the removed reports left behind

Found in the reading of the whole change; behaviour stays. - forwarder kept two caches by the view's generation (serving nodes, ranking), one with atomics that could show a new generation beside an old count. Now one value, replaced as a whole. The shares of connections follow a change of the view at the next look of any kind, no longer at the next request only. - spreader compared the positions of a notice twice in two ways; gatherer computed in two places until when a call is worth sending. - pooler.Leaf and namer.ServingMembers had no caller but tests and Serving since nodes don't report late calls; the pooler's comment still named the reports. The tests find the leaf by UsableLeaves, their assertions are unchanged. Left: platform/store.go and internal/platform/client speak two protocols with other errors, addresses and conditions; their shared shape is one HTTP round trip.

--- a/internal/entrance/namer/namer.go
+++ b/internal/entrance/namer/namer.go
@@ -57,11 +57,10 @@
 	return addresses, n.config.KeepFor
 }
 
-// ServingMembers returns the nodes that serve the callers of all zones.
-func (n *Namer) ServingMembers() []*pb.Member {
+// Serving returns how many nodes serve the callers of all zones, at least 1, and whether the named one is among them.
+func (n *Namer) Serving(name string) (count int, included bool) {
 	members := n.config.View.Members()
 	zones, serving := map[string]bool{}, map[string]bool{}
-	var all []*pb.Member
 	for _, m := range members {
 		zone := m.GetAvailabilityZone()
 		if zones[zone] {
@@ -69,22 +68,10 @@
 		}
 		zones[zone] = true
 		for _, s := range choose(members, zone) {
-			if !serving[s.GetName()] {
-				serving[s.GetName()] = true
-				all = append(all, s)
-			}
+			serving[s.GetName()] = true
 		}
 	}
-	return all
-}
-
-// Serving returns how many nodes serve the callers of all zones, and whether the named one is among them.
-func (n *Namer) Serving(name string) (count int, included bool) {
-	serving := n.ServingMembers()
-	for _, m := range serving {
-		included = included || m.GetName() == name
-	}
-	return max(1, len(serving)), included
+	return max(1, len(serving)), serving[name]
 }
 
 // choose returns the nodes that serve the callers of a zone.
--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -24,7 +24,7 @@
 	sentAt := time.Time{}
 	message := n.request.Message
 	if droppable {
-		message.SendBy = n.targetAt().Add(-leaf.Scorer().Own(startedAt, n.typical))
+		message.SendBy = n.sendBy(leaf, startedAt)
 	}
 	reply, err := leaf.Exchanger().Do(n.ctx, n.wanted, message, func() { sentAt = time.Now() })
 	now := time.Now()
@@ -100,7 +100,8 @@
 // notSent drops a shard whose call came too late to be sent, if the answer can do without it. Otherwise the
 // leaf may be tried once more.
 func (n *run) notSent(s *shard, attempt int) {
-	late := !time.Now().Before(n.targetAt().Add(-s.tried[attempt].leaf.Scorer().Own(time.Now(), n.typical)))
+	now := time.Now()
+	late := !now.Before(n.sendBy(s.tried[attempt].leaf, now))
 	if late && s.open == 0 && n.droppable() {
 		s.done, s.dropped = true, true
 		return
--- a/internal/forward/gatherer/sending.go
+++ b/internal/forward/gatherer/sending.go
@@ -108,9 +108,10 @@
 		n.elapsed(time.Now()) < n.request.Target
 }
 
-// targetAt returns when an answer must leave to be in time.
-func (n *run) targetAt() time.Time {
-	return n.request.ArrivedAt.Add(n.request.Target - n.request.Spent)
+// sendBy returns until when a call can be sent to the leaf so that its answer leaves in time.
+func (n *run) sendBy(leaf *pooler.Leaf, now time.Time) time.Time {
+	targetAt := n.request.ArrivedAt.Add(n.request.Target - n.request.Spent)
+	return targetAt.Add(-leaf.Scorer().Own(now, n.typical))
 }
 
 // hedgeDelay returns how long the answer of a call may take before another leaf is tried.
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -24,6 +24,14 @@
 	keptLinks = 16
 )
 
+// fleet is what follows from one generation of the view.
+type fleet struct {
+	generation uint64
+	// serving is the number of nodes that serve callers, this one included, at least 1.
+	serving int
+	ranker  *ranker.Ranker
+}
+
 // HandleFrame handles the frames of other nodes.
 func (n *Node) HandleFrame(ctx context.Context, f *pb.Frame, reply func(*pb.Frame)) {
 	switch body := f.GetBody().(type) {
@@ -73,30 +81,26 @@
 	return linked
 }
 
-// servingNodes returns the number of nodes that serve callers, this one included, and keeps the shares of
-// connections in step with it.
-func (n *Node) servingNodes() int {
-	if generation := n.prober.Generation(); n.serving.generation.Swap(generation) != generation {
-		count, included := n.namer.Serving(n.config.NodeName)
-		if !included {
-			count++ // callers that have an old answer still come here
-		}
-		n.serving.count.Store(int64(count))
-		n.pooler.SetNodes(count)
+// currentFleet returns what follows from the present view. It is computed anew only after a change of the view: every
+// request, every look for the reader of the store and every call of a cold leaf needs it.
+func (n *Node) currentFleet() *fleet {
+	generation := n.prober.Generation()
+	if f := n.fleet.Load(); f != nil && f.generation == generation {
+		return f
 	}
-	return int(max(1, n.serving.count.Load()))
+	serving, included := n.namer.Serving(n.config.NodeName)
+	if !included {
+		serving++ // callers that have an old answer still come here
+	}
+	f := &fleet{generation: generation, serving: serving, ranker: ranker.New(n.prober.Members())}
+	n.fleet.Store(f)
+	n.pooler.SetNodes(serving)
+	return f
 }
 
-// ranking ranks the live nodes. It is computed anew only after a change of the view: every look for the reader of the
-// store and every call of a cold leaf needs it.
-func (n *Node) ranking() *ranker.Ranker {
-	generation := n.prober.Generation()
-	n.ranked.mutex.Lock()
-	defer n.ranked.mutex.Unlock()
-	if n.ranked.ranker == nil || n.ranked.generation != generation {
-		n.ranked.generation, n.ranked.ranker = generation, ranker.New(n.prober.Members())
-	}
-	return n.ranked.ranker
+// servingNodes returns the number of nodes that serve callers, this one included.
+func (n *Node) servingNodes() int {
+	return n.currentFleet().serving
 }
 
 // coldShare returns which part of a cold leaf's rate this node may use. In a large fleet only a few nodes, the
@@ -105,7 +109,7 @@
 	if members := len(n.prober.Members()); members <= coldNodes {
 		return coldMargin / float64(max(1, members))
 	}
-	for _, m := range n.ranking().Leading(ranker.Key{Name: leafID}, coldNodes) {
+	for _, m := range n.currentFleet().ranker.Leading(ranker.Key{Name: leafID}, coldNodes) {
 		if m.GetName() == n.config.NodeName {
 			return coldMargin / coldNodes
 		}
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -31,7 +31,6 @@
 	"github.com/magnoliastep/magnoliastep/internal/upstream/pooler"
 	"github.com/magnoliastep/magnoliastep/internal/view/linker"
 	"github.com/magnoliastep/magnoliastep/internal/view/prober"
-	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
 )
 
 const (
@@ -129,17 +128,8 @@
 		readerSpread time.Duration
 		// evacuated has the zones that are out of service.
 		evacuated map[string]bool
-		// serving is what was last known of the nodes that serve callers.
-		serving struct {
-			generation atomic.Uint64
-			count      atomic.Int64
-		}
-		// ranked has the ranking of the view's generation.
-		ranked struct {
-			mutex      sync.Mutex
-			generation uint64
-			ranker     *ranker.Ranker
-		}
+		// fleet is what was last known of the other nodes; nil before the first look.
+		fleet atomic.Pointer[fleet]
 	}
 )
 
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -93,7 +93,7 @@
 		return n.isSeed() || n.config.Clock.Since(n.startedAt) > pause
 	}
 	age := n.config.Clock.Since(position.ConfirmedAt)
-	for i, m := range n.ranking().Leading(ranker.Key{Name: readerKey + kind}, maxReaderRank) {
+	for i, m := range n.currentFleet().ranker.Leading(ranker.Key{Name: readerKey + kind}, maxReaderRank) {
 		if m.GetName() == n.config.NodeName {
 			return i == 0 || age > wait+readerAge+time.Duration(i)*readerStep
 		}
--- a/internal/records/spreader/spreader.go
+++ b/internal/records/spreader/spreader.go
@@ -109,11 +109,10 @@
 
 // HandleNotice takes what another node knows and asks it for what this node lacks.
 func (s *Spreader) HandleNotice(ctx context.Context, n *pb.DocumentNotice) {
-	behind, confirmed := false, false
+	confirmed := false
 	for _, p := range n.GetPositions() {
 		known := s.config.Replica.Position(p.GetKind())
 		if p.GetRevision() > known.Revision {
-			behind = true
 			continue
 		}
 		at := s.confirmedAt(p, known.Revision)
@@ -123,7 +122,7 @@
 	if confirmed && s.config.Forward() {
 		s.Announce()
 	}
-	if behind {
+	if s.behind(n) {
 		s.follow(ctx, n)
 	}
 }
--- a/internal/upstream/pooler/pooler.go
+++ b/internal/upstream/pooler/pooler.go
@@ -3,8 +3,7 @@
 // time to an answer flows out.
 //
 // The load it answers: a few leaves a service that pause, slow down, fail or vanish one at a time while the
-// others have room. Each node picks by what it sees itself and by what others report, so nothing has to be
-// asked before a call.
+// others have room. Each node picks by what it sees itself, so nothing has to be asked before a call.
 package pooler
 
 import (
@@ -187,13 +186,6 @@
 	p.config.Logger.Info("leaf removed", "leaf", id, "service", l.entry.Service, "reason", reason)
 }
 
-// Leaf returns the leaf with the id, or nil.
-func (p *Pooler) Leaf(id string) *Leaf {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.leaves[id]
-}
-
 // Declare takes what the configuration says of all services.
 func (p *Pooler) Declare(services map[string]Service) {
 	p.mutex.Lock()
--- a/internal/upstream/pooler/pooler_test.go
+++ b/internal/upstream/pooler/pooler_test.go
@@ -35,6 +35,16 @@
 	return l.Entry().ID
 }
 
+// leafOf returns the usable leaf with the id, or nil.
+func leafOf(p *pooler.Pooler, id string) *pooler.Leaf {
+	for _, l := range p.UsableLeaves("s") {
+		if l.Entry().ID == id {
+			return l
+		}
+	}
+	return nil
+}
+
 func TestTheNearLeafIsPickedUntilItIsSlower(t *testing.T) {
 	is := is.New(t)
 	p, now := newPool(1), time.Now()
@@ -42,8 +52,8 @@
 	p.Put(entry("near", "z1"), now)
 	is.Equal(pick(p, now), "near")
 	for range 4 {
-		p.Leaf("near").Scorer().Begin(now)
-		p.Leaf("near").Scorer().End(now, now.Add(3*typical), 3*typical, typical, scorer.Success)
+		leafOf(p, "near").Scorer().Begin(now)
+		leafOf(p, "near").Scorer().End(now, now.Add(3*typical), 3*typical, typical, scorer.Success)
 	}
 	is.Equal(pick(p, now), "far")
 	l, _ := p.Pick("s", typical, func(l *pooler.Leaf) bool { return l.Entry().ID == "far" }, now)
@@ -63,7 +73,7 @@
 	draining.Draining = true
 	p.Put(draining, now)
 	is.Equal(pick(p, now), "b")
-	p.Leaf("b").LeaveOut(now)
+	leafOf(p, "b").LeaveOut(now)
 	is.Equal(pick(p, now), "") // another process answered at its address
 	is.Equal(pick(p, now.Add(3*time.Second)), "b")
 	p.Remove("b", "test")
@@ -75,13 +85,13 @@
 	p, now := newPool(1), time.Now()
 	e := entry("a", "z1")
 	p.Put(e, now)
-	old := p.Leaf("a")
+	old := leafOf(p, "a")
 	e.Slots = 5
 	p.Put(e, now)
-	is.True(p.Leaf("a").Scorer() == old.Scorer()) // the same process, told anew
+	is.True(leafOf(p, "a").Scorer() == old.Scorer()) // the same process, told anew
 	e.Incarnation = 2
 	p.Put(e, now)
-	is.True(p.Leaf("a").Scorer() != old.Scorer())
+	is.True(leafOf(p, "a").Scorer() != old.Scorer())
 }
 
 // The load: calls as fast as can be at the only leaf, which is cold. All nodes together may send no more than
@@ -120,6 +130,6 @@
 	p.Declare(map[string]pooler.Service{"s": {MaxConnections: 26}})
 	for nodes, want := range map[int]int{1: 22, 9: 2, 100: 1} {
 		p.SetNodes(nodes)
-		is.Equal(p.Leaf("a").Exchanger().Limit(), want)
+		is.Equal(leafOf(p, "a").Exchanger().Limit(), want)
 	}
 }
