Bound what a leaf may send, refuse truthfully, order what waits

- "Not run": a call that still waited for a connection counted as possibly run, so the caller got 504.
It is withdrawn at the end, atomically against being sent, and the request refused with 503 (TestRequestWhoseCallsGotNoConnectionIsNotRun).
- After the deadline: a request without time left was still sent, with 1 ms stated (TestRequestWithoutTimeLeftIsRefusedUnsent, TestRequestPastDeadlineOrWithdrawnIsNotSent).

New with it: the route's rank orders what waits for a leaf (upstream/queuer), Retry-After is a decision (forward/deferrer), unusable priorities and timeouts (forward/sanitizer), reasons of failed calls in the log, a late copy without an ID on a connection that echoed IDs is not taken.

--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,18 +20,23 @@
 
 // call makes one call and reports its end as an event. It runs on its own goroutine. A droppable call is not sent
 // if its answer can't be in time.
-func (n *run) call(shardIndex, attemptIndex int, leaf *balancer.Leaf, droppable bool) {
+func (n *run) call(shardIndex, attemptIndex int, leaf *balancer.Leaf, state *sendState, droppable bool) {
 	startedAt := time.Now()
 	leaf.Scorer().Begin(startedAt)
 	sentAt := time.Time{}
 	message := n.request.Message
+	message.Priority = n.request.Route.Priority
+	message.InTimeUntil = n.sendDeadline(leaf, startedAt)
 	if droppable {
-		message.SendBy = n.sendDeadline(leaf, startedAt)
+		message.SendBy = message.InTimeUntil
 	}
-	reply, err := leaf.Exchanger().Do(n.callContext, n.sendContext, message, func() { sentAt = time.Now() })
+	reply, err := leaf.Exchanger().Do(n.callContext, n.sendContext, message, func() bool {
+		sentAt = time.Now()
+		return state.begin()
+	})
 	now := time.Now()
 	outcome, took := n.outcome(reply, err), time.Duration(0)
-	if !sentAt.IsZero() {
+	if outcome != scorer.Unsent && !sentAt.IsZero() {
 		took = now.Sub(sentAt)
 	}
 	leaf.Scorer().End(startedAt, now, took, n.typicalLatency, outcome)
@@ -47,10 +53,10 @@
 // outcome classifies the end of a call for the leaf's scorer.
 func (n *run) outcome(reply *exchanger.Reply, err error) scorer.Outcome {
 	switch {
+	case errors.Is(err, exchanger.ErrNoConnection), errors.Is(err, exchanger.ErrWithdrawn):
+		return scorer.Unsent
 	case err != nil && n.sendContext.Err() != nil:
 		return scorer.Abandoned
-	case errors.Is(err, exchanger.ErrNoConnection):
-		return scorer.Unsent
 	case err != nil:
 		return scorer.Failure
 	case reply.NotRun:
@@ -73,18 +79,21 @@
 		return
 	}
 	if e.err != nil || e.reply.NotRun || !n.acceptable(e.reply) {
-		n.result.FailedLeaves = append(n.result.FailedLeaves, s.attempts[e.attempt].leaf.Entry().ID)
+		n.result.FailedLeaves = append(n.result.FailedLeaves, s.attempts[e.attempt].leaf.Entry().ID+":"+failureReason(e))
 	}
 	switch {
-	case e.err != nil && errors.Is(e.err, exchanger.ErrNotSent):
+	case errors.Is(e.err, exchanger.ErrNoConnection), errors.Is(e.err, exchanger.ErrWithdrawn):
+		s.possibleRuns--
+		n.handleNoTurn(s, e.attempt)
+	case errors.Is(e.err, exchanger.ErrNotSent):
 		s.possibleRuns--
-		n.handleNotSent(s, e.attempt)
+		n.handleFailure(s, true)
 	case e.err != nil:
 		n.handleFailure(s, n.request.Route.Idempotent)
 	case e.reply.NotRun:
 		n.handleRejection(s, e)
 	case n.acceptable(e.reply):
-		s.done = true
+		s.done, s.answered = true, true
 		n.result.Parts = append(n.result.Parts, e.reply)
 		n.gatherer.addLatencySample(n.request.Route, e.took)
 	default:
@@ -93,6 +102,24 @@
 	}
 }
 
+// failureReason names for the log why a call failed.
+func failureReason(e event) string {
+	switch {
+	case errors.Is(e.err, exchanger.ErrNoConnection):
+		return "no_turn"
+	case errors.Is(e.err, exchanger.ErrWithdrawn):
+		return "withdrawn"
+	case errors.Is(e.err, exchanger.ErrNotSent):
+		return "not_connected"
+	case e.err != nil:
+		return "no_answer"
+	case e.reply.NotRun:
+		return "rejected"
+	default:
+		return "status_" + strconv.Itoa(e.reply.Status)
+	}
+}
+
 // acceptable reports whether a leaf's answer can be returned to the caller, or used as a part of the answer.
 func (n *run) acceptable(r *exchanger.Reply) bool {
 	if len(n.request.Route.Shards) > 0 {
@@ -101,19 +128,19 @@
 	return r.Status < http.StatusInternalServerError && (r.Signature != "" || r.Status/100 != 2)
 }
 
-// handleNotSent handles a call that was not sent. If it was too late to send the call, the shard is dropped if the
-// answer does not need it; if it does, the same leaf may be called again. Otherwise another leaf is tried.
-func (n *run) handleNotSent(s *shard, attemptIndex int) {
-	now := time.Now()
-	late := !now.Before(n.sendDeadline(s.attempts[attemptIndex].leaf, now))
-	if late && s.openCalls == 0 && n.canDropShard() {
-		s.done, s.dropped = true, true
-		return
-	}
-	if late {
-		s.attempts[attemptIndex].leaf = nil
+// handleNoTurn handles a call that got no connection while its answer could still have been in time. The shard is
+// dropped if the answer does not need it. If it does, the same leaf or another one is called even if the answer will be
+// late.
+func (n *run) handleNoTurn(s *shard, attemptIndex int) {
+	s.attempts[attemptIndex].leaf = nil
+	switch {
+	case s.openCalls > 0:
+		s.nextSendAt = time.Now().Add(blockedSendDelay)
+	case n.canDropShard():
+		s.done = true
+	default:
+		n.handleFailure(s, true)
 	}
-	n.handleFailure(s, true)
 }
 
 // handleRejection handles a call that the leaf rejected without running it.
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -91,10 +91,14 @@
 		WaitingLeaves []string
 		// BudgetBlocked is the number of times that the budget denied a second send.
 		BudgetBlocked int
-		// FailedLeaves has the IDs of the leaves whose calls failed, in order.
+		// FailedLeaves has, in order, the IDs of the leaves whose calls failed, each with a colon and the reason.
 		FailedLeaves []string
 		// ConnectionWait is the longest time that a call waited for a connection.
 		ConnectionWait time.Duration
+		// Withdrawn is the number of calls that got no connection before the request ended.
+		Withdrawn int
+		// OutOfTime is set when no time was left to send the request.
+		OutOfTime bool
 		// ServicesWithoutLeaf has the services without a usable leaf.
 		ServicesWithoutLeaf []string
 	}
@@ -117,6 +121,9 @@
 
 // Run runs one request until it is answered, has failed or its caller has disconnected.
 func (g *Gatherer) Run(ctx context.Context, r Request) Result {
+	if r.TimeSpent+time.Since(r.ArrivedAt) >= r.Timeout {
+		return Result{Outcome: OutcomeNotRun, OutOfTime: true}
+	}
 	noLeaf := g.servicesWithoutLeaf(r)
 	if usable := len(r.Services) - len(noLeaf); usable == 0 ||
 		float64(usable) < r.Route.MinCoverage*float64(len(r.Services)) {
--- a/internal/forward/gatherer/gatherer_test.go
+++ b/internal/forward/gatherer/gatherer_test.go
@@ -177,6 +177,39 @@
 	is.True(time.Since(startedAt) < 20*ms) // a request without a usable leaf is rejected at once
 }
 
+// A request whose calls all waited for a connection until its timeout has run nowhere, and its caller must be told so:
+// only then may it send a non-idempotent request again.
+func TestRequestWhoseCallsGotNoConnectionIsNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, map[string]http.HandlerFunc{"s/near": answerAfter(2 * time.Second)})
+	f.pool.SetServices(map[string]balancer.Service{"s": {MaxConnections: 1}})
+	first := make(chan gatherer.Result)
+	go func() { first <- f.run(t.Context(), singleServiceRoute(false)) }()
+	for f.calls["s/near"].Load() == 0 {
+		time.Sleep(ms)
+	}
+	r := f.run(t.Context(), singleServiceRoute(false))
+	is.Equal(r.Outcome, gatherer.OutcomeNotRun)
+	is.Equal(r.Withdrawn, 1)
+	is.Equal((<-first).Outcome, gatherer.OutcomeTimeout) // its call was sent
+	time.Sleep(300 * ms)                                 // the connection of the first request is closed by now
+	is.Equal(f.calls["s/near"].Load(), int64(1))         // "not run" stays true
+}
+
+// A request that arrives with no time left, for example after a pause of the process, must not reach a leaf.
+func TestRequestWithoutTimeLeftIsRefusedUnsent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, map[string]http.HandlerFunc{"s/near": answerAfter(0)})
+	route := singleServiceRoute(true)
+	r := f.gatherer.Run(t.Context(), gatherer.Request{
+		Route: &route, Services: []string{"s"}, ArrivedAt: time.Now().Add(-time.Second), Target: target, Timeout: timeout,
+		Message: exchanger.Request{Method: http.MethodGet, ID: "r1", Deadline: time.Now().Add(time.Second)},
+	})
+	is.Equal(r.Outcome, gatherer.OutcomeNotRun)
+	is.True(r.OutOfTime)
+	is.Equal(f.calls["s/near"].Load(), int64(0))
+}
+
 func TestAttemptsLimitLeavesThatRunRequest(t *testing.T) {
 	is := is.New(t)
 	leaves := map[string]http.HandlerFunc{}
@@ -255,6 +288,37 @@
 	is.True((<-ended).Sub(leftAt) < 450*ms)
 }
 
+// Guards against a request that fails within milliseconds because more shards than it may lack have a slow leaf at
+// which other calls wait. Each of their calls got no connection in time; the calls were repeated at once until the
+// limit of sends was reached, and the request failed although all leaves would have answered before its timeout.
+func TestRequestWaitsForShardsThatItNeeds(t *testing.T) {
+	is := is.New(t)
+	slowLeaves := map[string]http.HandlerFunc{}
+	const slowShards = 4 // the answer may lack one
+	for i := range slowShards {
+		slowLeaves[fmt.Sprintf("s%d/near", i)] = answerAfter(150 * ms)
+	}
+	f, route := newShardedFixture(t, slowLeaves)
+	limits := map[string]balancer.Service{}
+	for i := range slowShards {
+		f.pool.Remove(fmt.Sprintf("s%d/far", i), "test")
+		limits[fmt.Sprintf("s%d", i)] = balancer.Service{MaxConnections: 1}
+	}
+	f.pool.SetServices(limits)
+	for range 4 { // so that the leaves are known to be slow
+		f.run(t.Context(), route)
+	}
+	results := make(chan gatherer.Result, 3)
+	for range 3 {
+		go func() { results <- f.run(t.Context(), route) }()
+	}
+	for range 3 {
+		r := <-results
+		t.Logf("outcome %d with %d parts, failed %v", r.Outcome, len(r.Parts), r.FailedLeaves)
+		is.Equal(r.Outcome, gatherer.OutcomeAnswered)
+	}
+}
+
 // Guards against collapse of an overloaded shard. The only leaf of one of ten shards answers 40 calls/s, while 90
 // requests/s arrive for 2 s. Whole answers must come at about the rate of the leaf, and all other answers by the target
 // at the latest.
--- a/internal/forward/gatherer/run.go
+++ b/internal/forward/gatherer/run.go
@@ -16,6 +16,8 @@
 	abandonedCallTimeout = 250 * time.Millisecond
 	// maxSendsPerShard limits the sends of one shard, including rejected ones.
 	maxSendsPerShard = 6
+	// maxAttemptsPerShard limits the calls of one shard, including those that got no connection.
+	maxAttemptsPerShard = 4 * maxSendsPerShard
 )
 
 type (
@@ -43,8 +45,8 @@
 		service string
 		budget  *budgeter.Budgeter
 		done    bool
-		// dropped is set when the shard is done without a part because its answer could not arrive in time.
-		dropped bool
+		// answered is set when the shard is done with a part.
+		answered bool
 		// attempts has the calls made, in order.
 		attempts []attempt
 		// possibleRuns is the number of calls that a leaf may have run.
@@ -64,6 +66,7 @@
 	attempt struct {
 		leaf *balancer.Leaf
 		open bool
+		send *sendState
 	}
 
 	// event is the end of one call.
@@ -82,7 +85,7 @@
 	sendContext, stopSending := context.WithCancel(callContext)
 	n := &run{
 		gatherer: g, request: r, callContext: callContext, cancelCalls: cancelCalls, sendContext: sendContext,
-		stopSending: stopSending, events: make(chan event, len(r.Services)*maxSendsPerShard),
+		stopSending: stopSending, events: make(chan event, len(r.Services)*maxAttemptsPerShard),
 		shards: make([]shard, len(r.Services)), typicalLatency: g.typicalLatencyOf(r.Route),
 	}
 	for i, s := range r.Services {
@@ -164,6 +167,9 @@
 			}
 		}
 	}
+	if d != decider.Answer {
+		n.withdrawUnsent()
+	}
 	switch {
 	case d == decider.Answer:
 		n.result.Outcome = OutcomeAnswered
@@ -177,6 +183,19 @@
 	return n.result
 }
 
+// withdrawUnsent withdraws the calls that still wait for a connection, so that they no longer count as possible runs.
+func (n *run) withdrawUnsent() {
+	for i := range n.shards {
+		s := &n.shards[i]
+		for _, a := range s.attempts {
+			if a.open && a.send.withdraw() {
+				s.possibleRuns--
+				n.result.Withdrawn++
+			}
+		}
+	}
+}
+
 // mayHaveRun reports whether any leaf may have run the request or may still run it.
 func (n *run) mayHaveRun() bool {
 	for i := range n.shards {
--- a/internal/forward/gatherer/sending.go
+++ b/internal/forward/gatherer/sending.go
@@ -42,7 +42,8 @@
 	if s.possibleRuns+s.rejected == 0 {
 		takeToken = alwaysAllowed // no call has reached the service yet, so this is not a second send
 	}
-	if s.possibleRuns >= n.request.Route.Attempts || len(s.attempts) >= maxSendsPerShard {
+	if s.possibleRuns >= n.request.Route.Attempts || s.sends() >= maxSendsPerShard ||
+		len(s.attempts) >= maxAttemptsPerShard {
 		n.endSends(s)
 		return
 	}
@@ -85,26 +86,27 @@
 		}
 		return false
 	}
-	s.attempts = append(s.attempts, attempt{leaf: leaf, open: true})
+	state := &sendState{}
+	s.attempts = append(s.attempts, attempt{leaf: leaf, open: true, send: state})
 	s.possibleRuns++
 	s.openCalls++
 	n.openCalls++
 	s.retryDue = false
 	s.nextSendAt = now.Add(n.hedgeDelay(expected))
-	go n.call(shardIndex, len(s.attempts)-1, leaf, n.canDropShard())
+	go n.call(shardIndex, len(s.attempts)-1, leaf, state, n.canDropShard())
 	return true
 }
 
 // canDropShard reports whether the answer can still reach the minimum coverage if one more shard is dropped. If so, a
 // call whose answer can't be in time is not sent at all.
 func (n *run) canDropShard() bool {
-	droppedShards := 0
+	lostShards := 0
 	for i := range n.shards {
-		if n.shards[i].dropped {
-			droppedShards++
+		if n.shards[i].done && !n.shards[i].answered {
+			lostShards++
 		}
 	}
-	remaining := float64(len(n.shards) - droppedShards - 1)
+	remaining := float64(len(n.shards) - lostShards - 1)
 	return remaining > 0 && remaining >= n.request.Route.MinCoverage*float64(len(n.shards)) &&
 		n.elapsed(time.Now()) < n.request.Target
 }
@@ -122,6 +124,17 @@
 	return time.Duration(min(max(delay, hedgeMinShare*target), hedgeMaxShare*target))
 }
 
+// sends returns the number of calls that were sent or are open.
+func (s *shard) sends() int {
+	sends := 0
+	for _, a := range s.attempts {
+		if a.leaf != nil {
+			sends++
+		}
+	}
+	return sends
+}
+
 func (s *shard) hasTried(l *balancer.Leaf) bool {
 	for _, a := range s.attempts {
 		if a.leaf != nil && a.leaf.Entry().ID == l.Entry().ID {
--- /dev/null
+++ b/internal/forward/sanitizer/sanitizer.go
@@ -0,0 +1,39 @@
+// Package sanitizer replaces values of a configuration that no route can be served by. A wrong value must neither take
+// the configuration out of force nor give its route an advantage, so such a route gets the lowest priority.
+package sanitizer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
+)
+
+const (
+	// lowestPriority is the rank of a route whose priority or timeout is missing or not usable.
+	lowestPriority = 1000
+	// defaultTimeout replaces a timeout that is missing or not usable.
+	defaultTimeout = 30 * time.Second
+	// maxTimeout is the longest usable timeout.
+	maxTimeout = time.Hour
+)
+
+// Sanitize replaces unusable values in the routes of a configuration and returns a description of each.
+func Sanitize(c *matcher.Config) []string {
+	var problems []string
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Priority < 0 || r.Priority > lowestPriority {
+			problems = append(problems, fmt.Sprintf("route %s: priority %d is missing or not usable", r.Name, r.Priority))
+			r.Priority = lowestPriority
+		}
+		if r.Timeout <= 0 || r.Timeout > maxTimeout {
+			problems = append(problems, fmt.Sprintf("route %s: timeout %s is missing or not usable", r.Name, r.Timeout))
+			r.Timeout, r.Priority = defaultTimeout, lowestPriority
+		}
+		if r.TargetLatency <= 0 || r.TargetLatency > r.Timeout {
+			r.TargetLatency = r.Timeout
+		}
+	}
+	return problems
+}
--- a/internal/forward/server/answer.go
+++ b/internal/forward/server/answer.go
@@ -8,17 +8,12 @@
 	"strings"
 	"time"
 
+	"github.com/magnoliastep/magnoliastep/internal/forward/deferrer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/merger"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
 )
 
-const (
-	// notRunRetryAfter is the retry delay given to callers when no leaf ran their request. Jitter is added so that
-	// callers do not retry all at once.
-	notRunRetryAfter = 60 * time.Millisecond
-)
-
 // head returns the request line and header fields sent to leaves, without the fields that are set for each call.
 func (x *exchange) head(bodyBytes int) []byte {
 	r := x.request
@@ -63,7 +58,7 @@
 		}
 		x.recordSuccess(r)
 	case gatherer.OutcomeNotRun:
-		x.refuse("not_run", notRunRetryAfter, r)
+		x.refuse(notRunOutcome(r), deferrer.NoCapacity, r)
 	case gatherer.OutcomeTimeout:
 		x.fail(http.StatusGatewayTimeout, "timeout", r)
 	case gatherer.OutcomeCallerGone:
@@ -142,16 +137,32 @@
 func (x *exchange) noRoute(version int64) {
 	x.version = version
 	if !x.server.config.ConfigCurrent() {
-		x.refuse("configuration_not_fresh", noConfigRetryAfter, gatherer.Result{})
+		x.refuse("configuration_not_fresh", deferrer.NoConfiguration, gatherer.Result{})
 		return
 	}
 	x.fail(http.StatusNotFound, "no_route", gatherer.Result{})
 }
 
+// notRunOutcome names why no leaf ran the request.
+func notRunOutcome(r gatherer.Result) string {
+	switch {
+	case r.OutOfTime:
+		return "out_of_time"
+	case r.Withdrawn > 0:
+		return "no_capacity"
+	default:
+		return "not_run"
+	}
+}
+
 // refuse answers that the request has not run, and states when to retry.
-func (x *exchange) refuse(outcome string, after time.Duration, r gatherer.Result) {
-	after += time.Duration(x.server.config.Random() * float64(after))
-	x.writer.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+func (x *exchange) refuse(outcome string, reason deferrer.Reason, r gatherer.Result) {
+	refusal := deferrer.Refusal{Reason: reason, TimeLeft: x.timeLeft() - time.Since(x.arrivedAt)}
+	if x.route != nil {
+		refusal.Priority = x.route.Priority
+	}
+	x.retryAfter = deferrer.RetryAfter(refusal, x.server.config.Random())
+	x.writer.Header().Set("Retry-After", strconv.FormatFloat(x.retryAfter.Seconds(), 'f', 3, 64))
 	x.fail(http.StatusServiceUnavailable, outcome, r)
 }
 
@@ -186,5 +197,6 @@
 		"hedges", r.Hedges, "retries", r.Retries, "rejections", r.Rejections, "budget_blocked", r.BudgetBlocked,
 		"failed_leaves", strings.Join(r.FailedLeaves, ","), "waiting_for", strings.Join(r.WaitingLeaves, ","),
 		"no_leaf", strings.Join(r.ServicesWithoutLeaf, ","), "time_left", x.remaining,
+		"withdrawn", r.Withdrawn, "retry_after", x.retryAfter,
 		"took", time.Since(x.arrivedAt).Round(time.Microsecond))
 }
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliastep/magnoliastep/internal/forward/deferrer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
@@ -29,8 +30,10 @@
 	outboundDelay = 8 * time.Millisecond
 	// longestWaitWindow is how long the longest stated wait of a route's callers is kept.
 	longestWaitWindow = 10 * time.Second
-	// noConfigRetryAfter is the retry delay given to callers while this node has no current configuration.
-	noConfigRetryAfter = 200 * time.Millisecond
+	// defaultMaxBodyBytes bounds the body of a request if the configuration sets no bound.
+	defaultMaxBodyBytes = 8 << 20
+	// defaultTimeLeft is how long a caller is assumed to wait that states no time and whose route is not known.
+	defaultTimeLeft = time.Second
 )
 
 type (
@@ -118,7 +121,7 @@
 	}
 	m := s.config.Matcher()
 	if m == nil {
-		x.refuse("no_configuration", noConfigRetryAfter, gatherer.Result{})
+		x.refuse("no_configuration", deferrer.NoConfiguration, gatherer.Result{})
 		return
 	}
 	route := m.Match(r.Host, r.RequestURI)
@@ -145,7 +148,9 @@
 	arrivedAt time.Time
 	// remaining is how long the caller waits for the answer after arrivedAt.
 	remaining time.Duration
-	services  []string
+	// retryAfter is the delay that a refused caller is told; 0 for a request that is not refused.
+	retryAfter time.Duration
+	services   []string
 }
 
 // readBody reads the request's body. If that fails, it answers the caller and returns false.
@@ -153,10 +158,10 @@
 	if x.request.Body == nil || x.request.ContentLength == 0 {
 		return nil, true
 	}
-	reader := x.request.Body
-	if limit > 0 {
-		reader = http.MaxBytesReader(x.writer, reader, limit)
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
 	}
+	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
 	// Limits the wait for a caller that stops in the middle of its body to the timeout of the route.
 	control := http.NewResponseController(x.writer)
 	if err := control.SetReadDeadline(x.arrivedAt.Add(x.route.Timeout)); err != nil {
@@ -200,9 +205,13 @@
 	x.write(result)
 }
 
-// timeLeft returns how long the caller still waits, as its header field states, or else the timeout of the route.
+// timeLeft returns how long the caller still waits, as its header field states, or else the timeout of the route. It is
+// defaultTimeLeft without either.
 func (x *exchange) timeLeft() time.Duration {
 	milliseconds, err := strconv.ParseInt(x.request.Header.Get(x.server.config.HeaderNames.TimeLeft), 10, 64)
+	if (err != nil || milliseconds <= 0) && x.route == nil {
+		return defaultTimeLeft
+	}
 	if err != nil || milliseconds <= 0 {
 		return x.route.Timeout
 	}
--- a/internal/forward/server/server_test.go
+++ b/internal/forward/server/server_test.go
@@ -174,6 +174,32 @@
 	}
 }
 
+// An on-call engineer must see from the outcome why a request was refused, and a refused caller must have time left for
+// its next attempt.
+func TestRefusalNamesReasonAndLeavesTimeToRetry(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		result  gatherer.Result
+		outcome string
+	}{
+		{"no leaf", gatherer.Result{Outcome: gatherer.OutcomeNotRun, ServicesWithoutLeaf: []string{"a"}}, "not_run"},
+		{"no connection became free", gatherer.Result{Outcome: gatherer.OutcomeNotRun, Withdrawn: 2}, "no_capacity"},
+		{"no time left", gatherer.Result{Outcome: gatherer.OutcomeNotRun, OutOfTime: true}, "out_of_time"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.result = c.result
+			w := f.do("GET", "/one/x", "", "Left", "90")
+			is.Equal(w.StatusCode, 503)
+			after, err := strconv.ParseFloat(w.Header.Get("Retry-After"), 64)
+			is.NoErr(err)
+			is.True(after <= 0.03)
+			is.True(strings.Contains(f.log.String(), "outcome="+c.outcome))
+		})
+	}
+}
+
 func TestRequestWithoutIDIsRejected(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
--- a/internal/leaf/sender/transport_test.go
+++ b/internal/leaf/sender/transport_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"github.com/magnoliastep/magnoliastep/internal/leaf/sender"
 )
@@ -36,12 +38,17 @@
 	return listener.Addr().String()
 }
 
-// unusedAddress returns an address at which nobody listens.
+// unusedAddress returns an address at which nobody listens until the test ends. Its port is bound, because the port of
+// a listener that was closed may be given to another listener.
 func unusedAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	_ = listener.Close()
-	return listener.Addr().String()
+	is := is.New(t)
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = unix.Close(socket) })
+	is.NoErr(unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(socket)
+	is.NoErr(err)
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
 }
 
 // TestSendReportsNotRunOnlyIfNeverSent guards against NotRun for a call that the leaf may have read and run: the
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -9,6 +9,7 @@
 
 	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
+	"github.com/magnoliastep/magnoliastep/internal/forward/sanitizer"
 	"github.com/magnoliastep/magnoliastep/internal/records/gossiper"
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
@@ -159,6 +160,10 @@
 	if old := n.matcher.Load(); old != nil && old.Version() >= c.Version {
 		return
 	}
+	for _, problem := range sanitizer.Sanitize(&c) {
+		n.config.Logger.Warn("configuration has an unusable value; the route gets the lowest priority", "problem", problem,
+			"config_version", c.Version)
+	}
 	services := make(map[string]balancer.Service, len(c.Services))
 	for _, s := range c.Services {
 		services[s.Name] = balancer.Service{MaxConnections: s.MaxConnections, WarmUpRate: s.WarmUpRate}
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -17,7 +18,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/sys/unix"
+
+	"github.com/magnoliastep/magnoliastep/internal/upstream/queuer"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/readlimiter"
 )
 
 const (
@@ -34,8 +39,8 @@
 	// multiplies the limit for a late answer.
 	concurrencyIncrease       = 0.2
 	concurrencyDecreaseFactor = 0.8
-	// initialConcurrencyLimit is so high that only the connection limit applies until an answer is late.
-	initialConcurrencyLimit = 1 << 20
+	// minTimeLeft is the least time left with which a request is sent; leaves are told whole milliseconds.
+	minTimeLeft = time.Millisecond
 	// readBufferBytes has room for the head of an answer and a small body.
 	readBufferBytes = 2 << 10
 )
@@ -45,6 +50,9 @@
 	ErrNotSent = errors.New("leaf: request not sent")
 	// ErrNoConnection is an ErrNotSent for a request that got no free connection in time. It says nothing about the leaf.
 	ErrNoConnection = errors.Wrap(ErrNotSent, "no connection became free")
+	// ErrWithdrawn is an ErrNotSent for a request that was withdrawn, or whose deadline passed, before it was sent. It
+	// says nothing about the leaf.
+	ErrWithdrawn = errors.Wrap(ErrNotSent, "withdrawn before it was sent")
 	// ErrNoCompleteAnswer means that the connection ended or carried no complete answer, so the leaf may have run the
 	// request.
 	ErrNoCompleteAnswer = errors.New("leaf: no complete answer")
@@ -74,8 +82,13 @@
 		HeaderNames HeaderNames
 		// MaxAnswerBytes is the largest accepted body of an answer.
 		MaxAnswerBytes int64
+		// LargeAnswers bounds the bytes of large answers that are being received at once, from all leaves. Nil sets no
+		// bound.
+		LargeAnswers *semaphore.Weighted
 		// OnConnect, if not nil, is called before each attempt to connect.
 		OnConnect func()
+		// OnExcessBytes, if not nil, is called when the leaf has sent more bytes than an answer may have.
+		OnExcessBytes func()
 	}
 
 	// Request is a prepared request.
@@ -90,6 +103,10 @@
 		ID string
 		// Deadline is when the caller stops waiting for the answer.
 		Deadline time.Time
+		// Priority is the rank of the request among those that wait for a connection; 0 is the highest.
+		Priority int
+		// InTimeUntil is the latest time to send the request so that its answer can be in time.
+		InTimeUntil time.Time
 		// SendBy is the latest useful time to send the request; zero means the Deadline.
 		SendBy time.Time
 	}
@@ -110,26 +127,35 @@
 		config          Config
 		dialer          net.Dialer
 		connectionLimit atomic.Int64
-		mutex           sync.Mutex
+		// share is how many requests this node may have in flight, at least 1.
+		share atomic.Int64
+		mutex sync.Mutex
 		// idle has the open connections that carry no request, the most recently used one last.
 		idle []*connection
 		// open is the number of connections that are open or being opened.
 		open int
 		// busy is the number of connections that carry a request or are being opened for one.
 		busy int
-		// concurrencyLimit is how many requests may be in flight, at least 1. connectionLimit applies as well.
+		// concurrencyLimit is how many requests may be in flight by the latencies of earlier answers, at least 1.
+		// connectionLimit and share apply as well.
 		concurrencyLimit float64
 		// decreasedAt is when concurrencyLimit was last decreased.
 		decreasedAt time.Time
-		// waiters has one channel for each request that waits for a connection, the newest last. A waiter receives
-		// an idle connection, or nil when it may open one.
-		waiters []chan *connection
+		// waiters has the requests that wait for a connection.
+		waiters queuer.Queuer[waiter]
 		closed  bool
 	}
 
+	// waiter receives an idle connection, or nil when it may open one.
+	waiter chan *connection
+
 	connection struct {
 		net.Conn
-		reader *bufio.Reader
+		// limiter bounds what reader reads from the connection.
+		limiter *readlimiter.Limiter
+		reader  *bufio.Reader
+		// echoes is set once an answer on this connection has carried a request ID.
+		echoes bool
 		// expiresAt is when the leaf may close the idle connection.
 		expiresAt time.Time
 	}
@@ -140,7 +166,8 @@
 	e := &Exchanger{config: c}
 	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
 	e.connectionLimit.Store(1)
-	e.concurrencyLimit = initialConcurrencyLimit
+	e.share.Store(math.MaxInt32)
+	e.concurrencyLimit = math.MaxInt32
 	return e
 }
 
@@ -154,6 +181,12 @@
 	return int(e.connectionLimit.Load())
 }
 
+// SetShare sets how many requests this node may have in flight at the leaf, at least 1. Without a call only the other
+// limits apply.
+func (e *Exchanger) SetShare(share int) {
+	e.share.Store(int64(max(1, share)))
+}
+
 // HasCapacity returns whether a request could be sent now without waiting for a connection.
 func (e *Exchanger) HasCapacity() bool {
 	e.mutex.Lock()
@@ -161,6 +194,13 @@
 	return e.busy < e.maxInFlight()
 }
 
+// Waiting returns the number of requests that wait for a connection.
+func (e *Exchanger) Waiting() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.waiters.Len()
+}
+
 // Close closes the idle connections now and each busy connection at the end of its request.
 func (e *Exchanger) Close() {
 	e.mutex.Lock()
@@ -176,9 +216,9 @@
 
 // Do sends the request and returns the leaf's complete answer. The request waits for a connection until waitCtx
 // ends. When ctx ends the connection is closed, which tells the leaf that the request is cancelled. beforeSend is
-// called just before the first byte is written.
-func (e *Exchanger) Do(ctx, waitCtx context.Context, r Request, beforeSend func()) (*Reply, error) {
-	c, err := e.acquire(waitCtx, r.SendBy)
+// called just before the first byte is written; if it returns false, the request is not sent.
+func (e *Exchanger) Do(ctx, waitCtx context.Context, r Request, beforeSend func() bool) (*Reply, error) {
+	c, err := e.acquire(waitCtx, r)
 	if errors.Is(err, ErrNoConnection) {
 		return nil, err
 	}
@@ -186,20 +226,27 @@
 		return nil, errors.CombineErrors(ErrNotSent, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	beforeSend()
-	reply, reusable, err := e.exchange(c, r)
+	// A process that was paused may get here long after the deadline.
+	if time.Until(r.Deadline) < minTimeLeft || !beforeSend() {
+		e.release(c, stop())
+		return nil, ErrWithdrawn
+	}
+	reply, reusable, err := e.exchange(ctx, c, r)
 	if !stop() {
 		reusable = false
 	}
 	e.release(c, reusable && err == nil)
 	if err != nil {
+		if errors.Is(err, readlimiter.ErrLimit) && e.config.OnExcessBytes != nil {
+			e.config.OnExcessBytes()
+		}
 		return nil, errors.CombineErrors(ErrNoCompleteAnswer, err)
 	}
 	return reply, nil
 }
 
 // acquire returns a connection that carries no request, and waits for one if necessary.
-func (e *Exchanger) acquire(ctx context.Context, sendBy time.Time) (*connection, error) {
+func (e *Exchanger) acquire(ctx context.Context, r Request) (*connection, error) {
 	now := time.Now()
 	e.mutex.Lock()
 	if e.busy < e.maxInFlight() {
@@ -210,10 +257,10 @@
 		}
 		return c, nil
 	}
-	waiter := make(chan *connection, 1)
-	e.waiters = append(e.waiters, waiter)
+	call := &queuer.Call[waiter]{Priority: r.Priority, InTimeUntil: r.InTimeUntil, Value: make(waiter, 1)}
+	e.waiters.Add(call)
 	e.mutex.Unlock()
-	return e.await(ctx, waiter, sendBy)
+	return e.await(ctx, call, r.SendBy)
 }
 
 // takeLocked reserves a connection. It returns an idle one that may carry a request, or nil when the caller is to
@@ -234,15 +281,15 @@
 	return nil
 }
 
-// await waits until a connection is handed to the waiter; on nil it opens one.
-func (e *Exchanger) await(ctx context.Context, waiter chan *connection, sendBy time.Time) (*connection, error) {
+// await waits until a connection is handed to the waiting request; on nil it opens one.
+func (e *Exchanger) await(ctx context.Context, call *queuer.Call[waiter], sendBy time.Time) (*connection, error) {
 	if !sendBy.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, sendBy)
 		defer cancel()
 	}
 	select {
-	case c := <-waiter:
+	case c := <-call.Value:
 		if c == nil {
 			return e.dial(ctx)
 		}
@@ -250,17 +297,13 @@
 	case <-ctx.Done():
 	}
 	e.mutex.Lock()
-	for i, w := range e.waiters {
-		if w == waiter {
-			e.waiters = append(e.waiters[:i], e.waiters[i+1:]...)
-			e.mutex.Unlock()
-			return nil, errors.Wrap(ErrNoConnection, ctx.Err().Error())
-		}
-	}
+	removed := e.waiters.Remove(call)
 	e.mutex.Unlock()
-	// A connection was handed over in the meantime; it goes to the next waiter.
-	c := <-waiter
-	e.release(c, c != nil)
+	if !removed {
+		// A connection was handed over in the meantime; it goes to the next waiter.
+		c := <-call.Value
+		e.release(c, c != nil)
+	}
 	return nil, errors.Wrap(ErrNoConnection, ctx.Err().Error())
 }
 
@@ -274,7 +317,11 @@
 		e.release(nil, false)
 		return nil, errors.Wrap(err, "connect")
 	}
-	return &connection{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	limiter := readlimiter.New(readlimiter.Config{Source: c})
+	return &connection{
+		Conn: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
+		expiresAt: time.Now().Add(defaultIdleTimeout),
+	}, nil
 }
 
 // release ends the use of a connection: it hands it to the next waiter, keeps it as idle, or closes it.
@@ -298,19 +345,21 @@
 
 // serveWaitersLocked hands connections to waiters as long as the limits allow more requests in flight.
 func (e *Exchanger) serveWaitersLocked() {
-	for len(e.waiters) > 0 && e.busy < e.maxInFlight() {
-		c := e.takeLocked(time.Now())
-		// The newest request goes first: under overload, in order of arrival, each request would be answered just
-		// too late.
-		last := len(e.waiters) - 1
-		e.waiters[last] <- c
-		e.waiters = e.waiters[:last]
+	now := time.Now()
+	for e.waiters.Len() > 0 && e.busy < e.maxInFlight() {
+		c := e.takeLocked(now)
+		e.waiters.Take(now).Value <- c
 	}
 }
 
 // maxInFlight returns how many requests may be in flight now, at least 1.
 func (e *Exchanger) maxInFlight() int {
-	return max(1, min(int(e.concurrencyLimit), int(e.connectionLimit.Load())))
+	return max(1, min(int(e.concurrencyLimit), e.fixedLimit()))
+}
+
+// fixedLimit returns how many requests may be in flight whatever the latencies are.
+func (e *Exchanger) fixedLimit() int {
+	return int(min(e.connectionLimit.Load(), e.share.Load()))
 }
 
 // AdjustConcurrency adjusts the concurrency limit after an answer to a request sent at startedAt. late says that the
@@ -319,7 +368,7 @@
 func (e *Exchanger) AdjustConcurrency(startedAt, now time.Time, late bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	limit := float64(e.connectionLimit.Load())
+	limit := float64(e.fixedLimit())
 	switch {
 	case !late:
 		e.concurrencyLimit = min(limit, e.concurrencyLimit+concurrencyIncrease)
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -36,6 +36,8 @@
 	// mutex guards idle, the set of connections that carry no request now.
 	mutex sync.Mutex
 	idle  map[net.Conn]bool
+	// gate, if not nil, delays each answer until a value arrives. It is set before the first request.
+	gate chan struct{}
 }
 
 func newLeaf(t *testing.T, scripts ...string) (*fakeLeaf, *exchanger.Exchanger) {
@@ -89,6 +91,9 @@
 			time.Sleep(d)
 			script = rest
 		}
+		if l.gate != nil {
+			<-l.gate
+		}
 		_, _ = io.WriteString(c, script)
 		switch end {
 		case "RST":
@@ -128,7 +133,7 @@
 }
 
 func do(t *testing.T, e *exchanger.Exchanger, id string) (*exchanger.Reply, error) {
-	return e.Do(t.Context(), t.Context(), request(id), func() {})
+	return e.Do(t.Context(), t.Context(), request(id), func() bool { return true })
 }
 
 const okAnswer = "HTTP/1.1 200 OK\r\nId: {id}\r\nSign: s-{id}\r\nContent-Length: 4\r\n\r\nbody"
@@ -139,7 +144,7 @@
 	r := request("r1")
 	r.Head = []byte("POST /a//b?c=%20 HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 5\r\n")
 	r.Method, r.Body = http.MethodPost, []byte("12345")
-	reply, err := e.Do(t.Context(), t.Context(), r, func() {})
+	reply, err := e.Do(t.Context(), t.Context(), r, func() bool { return true })
 	is.NoErr(err)
 	is.Equal(string(reply.Body), "body")
 	is.Equal(reply.Signature, "s-r1")
@@ -198,6 +203,43 @@
 	}
 }
 
+// A leaf sends a second copy of an answer late, on a connection that carries the next request by then. Its caller must
+// get its own answer or none, never the copy.
+func TestLateCopyIsNeverTakenForNextAnswer(t *testing.T) {
+	copied := strings.ReplaceAll(okAnswer, "{id}", "r1")
+	withoutID := strings.Replace(copied, "Id: r1\r\n", "", 1)
+	for _, c := range []struct {
+		name, second string
+		answered     bool
+	}{
+		{"copy before the answer", copied + okAnswer, true},
+		{"copy of a part with its own length", strings.Replace(copied, "4", "2", 1)[:len(copied)-2] + okAnswer, true},
+		{"copy after the answer", okAnswer + copied, true},
+		{"copy without an ID", withoutID + okAnswer, false},
+		{"copy without an ID alone", withoutID, false},
+		{"first half of a copy", copied[:30] + "FIN", false},
+		{"second half of a copy", copied[30:] + okAnswer, false},
+		{"copy inside the head of the answer", okAnswer[:20] + copied, false},
+		{"three copies", copied + copied + copied + okAnswer, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l, e := newLeaf(t, okAnswer, c.second, okAnswer)
+			_, err := do(t, e, "r1")
+			is.NoErr(err)
+			reply, err := do(t, e, "r2")
+			is.Equal(err == nil, c.answered)
+			if c.answered {
+				is.Equal(reply.Signature, "s-r2")
+			}
+			reply, err = do(t, e, "r3")
+			is.NoErr(err)
+			is.Equal(reply.Signature, "s-r3")
+			is.Equal(l.connections.Load(), int64(2)) // the connection with the copy is not used again
+		})
+	}
+}
+
 func TestReplyOrErrorSaysThatRequestDidNotRun(t *testing.T) {
 	is := is.New(t)
 	_, e := newLeaf(t, "HTTP/1.1 503 Busy\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
@@ -230,47 +272,92 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(20*time.Millisecond, cancel)
 	startedAt := time.Now()
-	_, err := e.Do(ctx, ctx, request("r"), func() {})
+	_, err := e.Do(ctx, ctx, request("r"), func() bool { return true })
 	is.True(errors.Is(err, exchanger.ErrNoCompleteAnswer))
 	is.True(time.Since(startedAt) < time.Second)
 }
 
+// newGatedLeaf returns an exchanger with one connection to a leaf that answers one request for each value sent to the
+// channel.
+func newGatedLeaf(t *testing.T) (*fakeLeaf, *exchanger.Exchanger, chan<- struct{}) {
+	l, e := newLeaf(t, okAnswer)
+	l.gate = make(chan struct{})
+	e.SetConnectionLimit(1)
+	return l, e, l.gate
+}
+
+// waitUntil waits until a condition holds.
+func waitUntil(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition was not reached in time")
+		}
+	}
+}
+
 // More requests than the only connection to a leaf can carry: the newest must be sent first, a request past its
-// SendBy must not be sent, and one whose waiting context is cancelled must leave the queue.
+// SendBy must not be sent, and one whose waiting context is cancelled must leave the queue. Each step waits for the one
+// before it, so that the order does not depend on the speed of the machine.
 func TestWaitingRequestsAreSentNewestFirstUnlessExpiredOrCancelled(t *testing.T) {
 	is := is.New(t)
-	l, e := newLeaf(t, "60ms|"+okAnswer)
-	e.SetConnectionLimit(1)
-	order := make(chan string, 4)
+	l, e, gate := newGatedLeaf(t)
+	ended := make(chan string, 5)
 	start := func(id string, waitCtx context.Context, sendBy time.Time) {
 		r := request(id)
+		r.Deadline = time.Now().Add(time.Minute)
 		r.SendBy = sendBy
 		go func() {
-			if _, err := e.Do(t.Context(), waitCtx, r, func() {}); err != nil {
+			if _, err := e.Do(t.Context(), waitCtx, r, func() bool { return true }); err != nil {
 				is.True(errors.Is(err, exchanger.ErrNotSent))
 				is.True(errors.Is(err, exchanger.ErrNoConnection)) // not a failure of the leaf
 				id += " not sent"
 			}
-			order <- id
+			ended <- id
 		}()
-		time.Sleep(5 * time.Millisecond)
+	}
+	startWaiting := func(id string, waitCtx context.Context, sendBy time.Time) {
+		before := e.Waiting()
+		start(id, waitCtx, sendBy)
+		waitUntil(t, func() bool { return e.Waiting() == before+1 })
 	}
 	cancelled, cancel := context.WithCancel(t.Context())
 	start("first", t.Context(), time.Time{})
-	start("old", t.Context(), time.Time{})
-	start("late", t.Context(), time.Now().Add(20*time.Millisecond))
-	start("unwanted", cancelled, time.Time{})
-	start("new", t.Context(), time.Time{})
+	waitUntil(t, func() bool { return l.requests.Load() == 1 })
+	startWaiting("old", t.Context(), time.Time{})
+	startWaiting("unwanted", cancelled, time.Time{})
+	startWaiting("new", t.Context(), time.Time{})
 	cancel()
-	var got []string
-	for range 5 {
-		got = append(got, <-order)
+	is.Equal(<-ended, "unwanted not sent")
+	start("late", t.Context(), time.Now().Add(20*time.Millisecond))
+	is.Equal(<-ended, "late not sent")
+	for _, id := range []string{"first", "new", "old"} {
+		gate <- struct{}{}
+		is.Equal(<-ended, id)
 	}
-	is.Equal(got, []string{"unwanted not sent", "late not sent", "first", "new", "old"})
 	is.Equal(l.connections.Load(), int64(1))
 	is.Equal(l.requests.Load(), int64(3))
 }
 
+// A process that was paused, or a request that waited, can reach the moment of sending after the request's deadline.
+// The leaf would work for nobody.
+func TestRequestPastDeadlineOrWithdrawnIsNotSent(t *testing.T) {
+	is := is.New(t)
+	l, e := newLeaf(t, okAnswer)
+	late := request("late")
+	late.Deadline = time.Now().Add(-time.Second)
+	_, err := e.Do(t.Context(), t.Context(), late, func() bool { return true })
+	is.True(errors.Is(err, exchanger.ErrWithdrawn))
+	is.True(errors.Is(err, exchanger.ErrNotSent))
+	_, err = e.Do(t.Context(), t.Context(), request("withdrawn"), func() bool { return false })
+	is.True(errors.Is(err, exchanger.ErrWithdrawn))
+	_, err = do(t, e, "r1")
+	is.NoErr(err)
+	is.Equal(l.requests.Load(), int64(1))
+	is.Equal(l.connections.Load(), int64(1)) // the connection of a request that was not sent is used for the next one
+	is.True(e.HasCapacity())
+}
+
 // An unexpected answer can arrive on an idle connection while requests wait. A waiter that was handed this connection
 // would take it for its own answer.
 func TestWaiterIsNotHandedConnectionWithUnexpectedBytes(t *testing.T) {
