Serve by few nodes with shares of the slots; large views settle in seconds

Cause 2, views: nodes asked for all members at most every 10 s and passed on 8 rumours a message, so that 300 nodes did not know each other two minutes after a common start, and 9 s after the loss of a zone 52 to 64 of 200 directories named lost nodes (tests of view/prober, virtual time).

In its first 3 s a node assumes six serving nodes: it took all connections of a leaf for its own after a power loss. A changed entry of a cold leaf keeps the level of its tokens (before, each heartbeat took what had been saved; it never handed out one anew).

--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -112,7 +112,7 @@
 		NodeName: s.NodeName, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
 		CallerAddress: s.CallerAddress, ReadinessAddress: s.ReadinessAddress, PeerAddress: s.PeerAddress,
 		DirectoryAddress: s.DirectoryAddress, MetricsAddress: s.MetricsAddress,
-		CPUShare: s.CPUShare, FirstStart: s.FirstStart, DirectoryTime: s.DirectoryTime,
+		CPUShare: s.CPUShare, MemoryBytes: s.MemoryBytes, FirstStart: s.FirstStart, DirectoryTime: s.DirectoryTime,
 		ReloadableSettings: reloadableSettings(s),
 		Store: platform.NewStore(s.StoreAddress, func(call, result string) {
 			set.GetOrCreateCounter(`stepfront_store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
--- a/internal/discovery/selector/selector.go
+++ b/internal/discovery/selector/selector.go
@@ -2,25 +2,38 @@
 // that a caller of an availability zone should use, and tells a node whether it serves callers at all.
 //
 // A request over many shards is served best by a node that sees many calls of each leaf, so a few large nodes serve
-// all callers and the others are on standby. In each zone, the large nodes serve: those with at least
-// largeNodeShare of the capacity of the fleet's largest node. A zone with fewer than two of them also uses those of
-// other zones, and its own small nodes only if there are fewer than two large nodes in total. Suspected and leaving
-// nodes are left out as long as there are others. The list is empty only on a node that knows no live node at all.
+// all callers and the others are on standby. They serve in the zones that hold most leaves, because every part of an
+// answer that comes from another zone costs traffic between zones. Large nodes are those with at least largeNodeShare
+// of the capacity of the fleet's largest node. How many serve follows from the slots of the leaves, which a larger
+// number of nodes could only overload, and from the helpers that busy nodes ask for. Suspected and leaving nodes are
+// left out as long as there are others, and the next node of the zone takes the place of one that is lost. The list is
+// empty only on a node that knows no live node at all.
 package selector
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/apportioner"
 )
 
 const (
 	// maxAddresses is the maximum number of addresses in one answer.
 	maxAddresses = 64
-	// minServingNodes is the number of large nodes that suffices for a zone's callers, so that one may fail.
+	// minServingNodes is the number of nodes that suffices for a zone's callers, so that one may fail.
 	minServingNodes = 2
+	// minFleetServing is the number of nodes that serve in the whole fleet at least, if there are as many, so that the
+	// loss of one takes at most a fifth of the requests along.
+	minFleetServing = 5
 	// largeNodeShare is the minimum capacity of a large node, as a share of the largest node's capacity.
 	largeNodeShare = 0.5
+	// leafZoneShare is the number of leaves from which nodes serve in a zone, as a share of the zone with most leaves.
+	leafZoneShare = 0.5
 )
 
 type (
@@ -29,9 +42,19 @@
 		Members() []*pb.Member
 	}
 
+	// Leaves describes the leaves that may be called.
+	Leaves struct {
+		// ByZone is the number of leaves in each availability zone.
+		ByZone map[string]int
+		// Slots is the usual number of slots of a leaf, at least 1; 0 if no leaf is known.
+		Slots int
+	}
+
 	// Config holds what a Selector needs.
 	Config struct {
 		View View
+		// Leaves returns the leaves that may be called.
+		Leaves func() Leaves
 		// KeepFor is how long callers may cache the addresses.
 		KeepFor time.Duration
 	}
@@ -40,6 +63,16 @@
 	Selector struct {
 		config Config
 	}
+
+	// selection is the nodes that serve.
+	selection struct {
+		// byZone has the serving nodes of each zone.
+		byZone map[string][]*pb.Member
+		// small has the nodes of each zone that are not large.
+		small map[string][]*pb.Member
+		// count is the number of nodes in byZone.
+		count int
+	}
 )
 
 // New returns a Selector.
@@ -49,7 +82,7 @@
 
 // Addresses returns the addresses for a caller in an availability zone, and how long the caller may cache them.
 func (sl *Selector) Addresses(zone string) ([]string, time.Duration) {
-	nodes := servingNodes(sl.config.View.Members(), zone)
+	nodes := sl.selectNodes().forZone(zone)
 	addresses := make([]string, 0, len(nodes))
 	for _, m := range nodes[:min(len(nodes), maxAddresses)] {
 		addresses = append(addresses, m.GetCallerAddress())
@@ -60,48 +93,106 @@
 // CountServing returns the number of nodes that serve the callers of all zones, at least 1, and whether the node with
 // the given name is one of them.
 func (sl *Selector) CountServing(name string) (count int, included bool) {
-	members := sl.config.View.Members()
-	seenZones, serving := map[string]bool{}, map[string]bool{}
-	for _, m := range members {
-		zone := m.GetAvailabilityZone()
-		if seenZones[zone] {
-			continue
-		}
-		seenZones[zone] = true
-		for _, s := range servingNodes(members, zone) {
-			serving[s.GetName()] = true
+	s := sl.selectNodes()
+	serving := map[string]bool{}
+	for _, m := range sl.config.View.Members() {
+		for _, n := range s.forZone(m.GetAvailabilityZone()) {
+			serving[n.GetName()] = true
 		}
 	}
 	return max(1, len(serving)), serving[name]
 }
 
-// servingNodes returns the nodes that serve the callers of a zone.
-func servingNodes(members []*pb.Member, zone string) []*pb.Member {
-	candidates := aliveMembers(members)
-	largest := uint32(0)
-	for _, m := range candidates {
-		largest = max(largest, m.GetCapacity())
+// selectNodes selects the serving nodes of all zones.
+func (sl *Selector) selectNodes() selection {
+	large, small := splitBySize(aliveMembers(sl.config.View.Members()))
+	leaves := sl.config.Leaves()
+	s := selection{byZone: map[string][]*pb.Member{}, small: small}
+	zones := leafZones(large, leaves)
+	for _, z := range zones {
+		s.byZone[z] = selectInZone(large[z], nodesPerZone(leaves.Slots, len(zones)))
+		s.count += len(s.byZone[z])
 	}
-	var sameZone, otherZones, small []*pb.Member
-	for _, m := range candidates {
-		switch {
-		case float64(m.GetCapacity()) < largeNodeShare*float64(largest):
-			if m.GetAvailabilityZone() == zone {
-				small = append(small, m)
-			}
-		case m.GetAvailabilityZone() == zone:
-			sameZone = append(sameZone, m)
-		default:
-			otherZones = append(otherZones, m)
+	if s.count < minServingNodes {
+		s.byZone, s.count = large, 0
+		for _, nodes := range large {
+			s.count += len(nodes)
 		}
 	}
-	if len(sameZone) >= minServingNodes {
-		return sameZone
+	return s
+}
+
+// forZone returns the nodes that serve the callers of a zone: those of the zone if there are enough, else all.
+func (s selection) forZone(zone string) []*pb.Member {
+	nodes := slices.Clone(s.byZone[zone])
+	if len(nodes) >= minServingNodes {
+		return nodes
+	}
+	for _, z := range sortedKeys(s.byZone) {
+		if z != zone {
+			nodes = append(nodes, s.byZone[z]...)
+		}
 	}
-	if len(sameZone)+len(otherZones) >= minServingNodes {
-		return append(sameZone, otherZones...)
+	if s.count < minServingNodes {
+		nodes = append(nodes, s.small[zone]...)
 	}
-	return append(append(sameZone, otherZones...), small...)
+	return nodes
+}
+
+// nodesPerZone returns how many nodes serve in each of the given number of zones, before helpers.
+func nodesPerZone(slots, zones int) int {
+	if slots == 0 {
+		return math.MaxInt32
+	}
+	return max(apportioner.ServingNodes(slots)/zones, int(math.Ceil(float64(minFleetServing)/float64(zones))))
+}
+
+// selectInZone returns the given number of a zone's large nodes, and as many more as the busiest of them asks for. All
+// nodes with the same view select the same ones, and the loss of one node replaces only that one.
+func selectInZone(nodes []*pb.Member, count int) []*pb.Member {
+	ranked := slices.Clone(nodes)
+	slices.SortFunc(ranked, func(a, b *pb.Member) int {
+		return cmp.Or(cmp.Compare(b.GetCapacity(), a.GetCapacity()),
+			cmp.Compare(xxhash.Sum64String(a.GetName()), xxhash.Sum64String(b.GetName())))
+	})
+	count = min(count, len(ranked))
+	helpers := 0
+	for _, m := range ranked[:count] {
+		helpers = max(helpers, int(m.GetHelpers()))
+	}
+	selected := ranked[:min(count+helpers, len(ranked))]
+	slices.SortFunc(selected, func(a, b *pb.Member) int { return cmp.Compare(a.GetName(), b.GetName()) })
+	return selected
+}
+
+// leafZones returns, in order, the zones with large nodes that hold many leaves, or all zones with large nodes if none
+// of them does.
+func leafZones(large map[string][]*pb.Member, leaves Leaves) []string {
+	most := 0
+	for z := range large {
+		most = max(most, leaves.ByZone[z])
+	}
+	zones := sortedKeys(large)
+	return slices.DeleteFunc(zones, func(z string) bool {
+		return float64(leaves.ByZone[z]) < leafZoneShare*float64(most)
+	})
+}
+
+// splitBySize returns the large nodes and the others, by zone and in order of their names.
+func splitBySize(members []*pb.Member) (large, small map[string][]*pb.Member) {
+	largest := uint32(0)
+	for _, m := range members {
+		largest = max(largest, m.GetCapacity())
+	}
+	large, small = map[string][]*pb.Member{}, map[string][]*pb.Member{}
+	for _, m := range members {
+		group := large
+		if float64(m.GetCapacity()) < largeNodeShare*float64(largest) {
+			group = small
+		}
+		group[m.GetAvailabilityZone()] = append(group[m.GetAvailabilityZone()], m)
+	}
+	return large, small
 }
 
 // aliveMembers returns the members in state alive or, if there are none, all members. It ignores members without a
@@ -122,3 +213,12 @@
 	}
 	return alive
 }
+
+func sortedKeys(m map[string][]*pb.Member) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -7,6 +7,11 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sys/unix"
+
+	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
+	"github.com/magnoliastep/magnoliastep/internal/discovery/scaler"
+	"github.com/magnoliastep/magnoliastep/internal/discovery/selector"
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/peer/dialer"
 	"github.com/magnoliastep/magnoliastep/internal/view/linker"
@@ -22,11 +27,23 @@
 	coldRateShare = 0.9
 	// idleLinkThreshold is how many idle links to other nodes stay open; a node needs about seven in a large fleet.
 	idleLinkThreshold = 16
+	// maxFleetAge is how long the state derived from the view may be used although leaves or requests for helpers may
+	// have changed.
+	maxFleetAge = 500 * time.Millisecond
+	// unknownViewPeriod is the time after the start in which the view may lack other nodes. Until then at least
+	// assumedServingNodes are assumed to share the leaves and the budgets.
+	unknownViewPeriod   = 3 * time.Second
+	assumedServingNodes = 6
+	// processorTimePeriod is the time between two observations of this node's processor time.
+	processorTimePeriod = 500 * time.Millisecond
+	// minProcessorSeconds avoids a division by zero for a VM without a stated share of a core.
+	minProcessorSeconds = 0.01
 )
 
 // fleetState is derived from one generation of the view.
 type fleetState struct {
 	generation uint64
+	derivedAt  time.Time
 	// serving is the number of nodes that serve callers, this one included, at least 1.
 	serving int
 	ranker  *ranker.Ranker
@@ -81,18 +98,27 @@
 	return linked
 }
 
-// currentFleet returns the state derived from the current view. The state is cached until the view changes, because
-// every request, every check whether this node should read the store and every call of a cold leaf needs it.
+// currentFleet returns the state derived from the current view. The state is cached until the view changes, at most for
+// maxFleetAge, because every request, every check whether this node should read the store and every call of a cold leaf
+// needs it.
 func (n *Node) currentFleet() *fleetState {
-	generation := n.prober.Generation()
-	if f := n.fleet.Load(); f != nil && f.generation == generation {
+	generation, now := n.prober.Generation(), n.config.Clock.Now()
+	if f := n.fleet.Load(); f != nil && f.generation == generation && now.Sub(f.derivedAt) < maxFleetAge {
 		return f
 	}
 	serving, included := n.selector.CountServing(n.config.NodeName)
 	if !included {
 		serving++ // callers with an older answer of the directory still connect to this node
 	}
-	f := &fleetState{generation: generation, serving: serving, ranker: ranker.New(n.prober.Members())}
+	if now.Sub(n.startedAt) < unknownViewPeriod {
+		serving = max(serving, assumedServingNodes)
+	}
+	f := &fleetState{generation: generation, derivedAt: now, serving: serving}
+	if previous := n.fleet.Load(); previous != nil && previous.generation == generation {
+		f.ranker = previous.ranker
+	} else {
+		f.ranker = ranker.New(n.prober.Members())
+	}
 	n.fleet.Store(f)
 	n.balancer.SetLiveNodes(serving)
 	return f
@@ -117,6 +143,40 @@
 	return 0
 }
 
+// leafSummary describes the leaves for the selector.
+func (n *Node) leafSummary() selector.Leaves {
+	s := n.balancer.Summary()
+	return selector.Leaves{ByZone: s.ByZone, Slots: s.Slots}
+}
+
+// observeProcessorTime asks for helpers as long as this node serves callers and uses much of its processor time.
+func (n *Node) observeProcessorTime(ctx context.Context) {
+	var helpers scaler.Scaler
+	usedBefore, at := processorTime(), n.config.Clock.Now()
+	for sleeper.Sleep(ctx, n.config.Clock, processorTimePeriod); ctx.Err() == nil; sleeper.Sleep(ctx, n.config.Clock,
+		processorTimePeriod) {
+		used, now := processorTime(), n.config.Clock.Now()
+		share := (used - usedBefore).Seconds() / max(n.config.CPUShare*now.Sub(at).Seconds(), minProcessorSeconds)
+		usedBefore, at = used, now
+		if _, serves := n.selector.CountServing(n.config.NodeName); !serves {
+			share = 0
+		}
+		asked := uint32(helpers.Observe(share, now))
+		if before := n.helpers.Swap(asked); before != asked {
+			n.config.Logger.Info("number of helpers changed", "helpers", asked, "before", before, "processor_share", share)
+		}
+	}
+}
+
+// processorTime returns the processor time that this process has used, or 0 if the system does not tell.
+func processorTime() time.Duration {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
 	return dialer.New(dialer.Config{Timeout: peerDialTimeout}).DialContext(ctx, "tcp", address)
 }
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/coder/quartz"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/magnoliastep/magnoliastep/internal/discovery/selector"
 	"github.com/magnoliastep/magnoliastep/internal/forward/budgeter"
@@ -41,6 +42,8 @@
 	suspicionPeriod = time.Second
 	// defaultDirectoryTTL is how long callers keep an answer of the directory, unless the settings ask for less.
 	defaultDirectoryTTL = 2 * time.Second
+	// largeAnswersShare is the share of the VM's memory for large answers that are being received.
+	largeAnswersShare = 0.25
 )
 
 type (
@@ -88,6 +91,8 @@
 		CallerAddress, ReadinessAddress, PeerAddress, DirectoryAddress, MetricsAddress string
 		// CPUShare is the number of cores that the VM has; it may be a fraction.
 		CPUShare float64
+		// MemoryBytes is the memory of the VM.
+		MemoryBytes int64
 		// DirectoryTime is the maximum time for which callers may keep an answer of the directory; 0 is no bound.
 		DirectoryTime time.Duration
 		// FirstStart is set when all nodes start for the first time. There is time then to let only few of them read the
@@ -130,6 +135,8 @@
 		fallbackReaderJitter time.Duration
 		// evacuatedZones is the set of zones that are out of service.
 		evacuatedZones map[string]bool
+		// helpers is the number of further serving nodes that this node asks for.
+		helpers atomic.Uint32
 		// fleet is the cached result of currentFleet; nil before its first call.
 		fleet atomic.Pointer[fleetState]
 	}
@@ -147,7 +154,9 @@
 		Gatherer: n.gatherer, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load, ConfigCurrent: n.configurationCurrent,
 		Draining: n.stopping.Load, Observe: n.observeRequest, Logger: c.Logger, Random: rand.Float64,
 	})
-	n.selector = selector.New(selector.Config{View: n.prober, KeepFor: directoryTTL(c.DirectoryTime)})
+	n.selector = selector.New(selector.Config{
+		View: n.prober, Leaves: n.leafSummary, KeepFor: directoryTTL(c.DirectoryTime),
+	})
 	n.registerGauges()
 	return n
 }
@@ -174,7 +183,7 @@
 		ProbePeriod: probePeriod, ProbeTimeout: probeTimeout, SuspicionPeriod: suspicionPeriod,
 		FilterTargets: func(names []string) []string { return linker.ChoosePeers(names, c.NodeName) },
 		SeedPeers:     n.otherSeeds(), Load: func() uint32 { return uint32(n.server.InProgress()) },
-		OnDeath: n.messenger.CloseLink,
+		Helpers: n.helpers.Load, OnDeath: n.messenger.CloseLink,
 	})
 }
 
@@ -183,8 +192,9 @@
 	connections := c.Metrics.NewCounter("stepfront_leaf_connections_opened_total")
 	n.balancer = balancer.New(balancer.Config{
 		Zone: c.AvailabilityZone, HeaderNames: c.HeaderNames.HeaderNames, MaxAnswerBytes: maxAnswerBytes,
-		ColdShare: n.coldShare,
-		OnConnect: connections.Inc, Random: rand.Float64, Logger: c.Logger,
+		LargeAnswers: semaphore.NewWeighted(max(maxAnswerBytes, int64(largeAnswersShare*float64(c.MemoryBytes)))),
+		ColdShare:    n.coldShare,
+		OnConnect:    connections.Inc, Random: rand.Float64, Logger: c.Logger,
 	})
 	n.enroller = enroller.New(enroller.Config{
 		Pool: n.balancer, DrainTime: func() time.Duration { return n.settings.Load().DrainTime },
@@ -249,4 +259,5 @@
 	}
 	go n.gossiper.Run(ctx)
 	go n.join(ctx)
+	go n.observeProcessorTime(ctx)
 }
--- a/internal/upstream/balancer/balancer.go
+++ b/internal/upstream/balancer/balancer.go
@@ -12,6 +12,9 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
+	"github.com/magnoliastep/magnoliastep/internal/upstream/apportioner"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/scorer"
 )
@@ -61,6 +64,14 @@
 		WarmUpRate float64
 	}
 
+	// Summary describes the leaves that may be called. It is not changed once it has been returned.
+	Summary struct {
+		// ByZone is the number of leaves in each availability zone.
+		ByZone map[string]int
+		// Slots is the most frequent number of slots of a leaf; 0 if there is no leaf.
+		Slots int
+	}
+
 	// Config holds what a Balancer needs.
 	Config struct {
 		// Zone is this node's availability zone.
@@ -68,6 +79,8 @@
 		HeaderNames exchanger.HeaderNames
 		// MaxAnswerBytes bounds the body of a leaf's answer.
 		MaxAnswerBytes int64
+		// LargeAnswers bounds the bytes of large answers that are being received at once; nil sets no bound.
+		LargeAnswers *semaphore.Weighted
 		// ColdShare returns this node's share of a cold leaf's WarmUpRate, 0 to 1.
 		ColdShare func(leafID string) float64
 		// OnConnect is called for each attempt to connect to a leaf.
@@ -88,6 +101,8 @@
 		// slice is replaced, never changed.
 		usable        map[string][]*Leaf
 		serviceLimits map[string]Service
+		// summary describes the usable leaves; nil while it must be computed again.
+		summary *Summary
 		// evacuatedZones has the zones whose leaves get no calls.
 		evacuatedZones map[string]bool
 		liveNodes      int
@@ -151,7 +166,9 @@
 		l = &Leaf{
 			entry: e, scorer: l.scorer, exchanger: l.exchanger,
 			coldUntil: l.coldUntil, suspendedUntil: l.suspendedUntil,
+			coldTokens: l.coldTokens, coldTokensUpdatedAt: l.coldTokensUpdatedAt,
 		}
+		b.applyLimitsLocked(l)
 	}
 	if e.WarmUpLeft > 0 {
 		l.coldUntil = now.Add(e.WarmUpLeft)
@@ -195,7 +212,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.serviceLimits = services
-	b.applyConnectionLimitsLocked()
+	b.applyAllLimitsLocked()
 }
 
 // SetLiveNodes sets the number of live nodes, which share each leaf's connections.
@@ -204,7 +221,7 @@
 	defer b.mutex.Unlock()
 	if b.liveNodes != max(1, nodes) {
 		b.liveNodes = max(1, nodes)
-		b.applyConnectionLimitsLocked()
+		b.applyAllLimitsLocked()
 	}
 }
 
@@ -230,6 +247,33 @@
 	return b.usable[service]
 }
 
+// Summary describes the leaves that may be called.
+func (b *Balancer) Summary() Summary {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.summary == nil {
+		b.summary = b.summarizeLocked()
+	}
+	return *b.summary
+}
+
+func (b *Balancer) summarizeLocked() *Summary {
+	s := &Summary{ByZone: map[string]int{}}
+	bySlots := map[int]int{}
+	for _, leaves := range b.usable {
+		for _, l := range leaves {
+			s.ByZone[l.entry.Zone]++
+			bySlots[l.entry.Slots]++
+		}
+	}
+	for slots, count := range bySlots {
+		if count > bySlots[s.Slots] || count == bySlots[s.Slots] && slots < s.Slots {
+			s.Slots = slots
+		}
+	}
+	return s
+}
+
 // Pick returns the leaf of the service with the lowest expected latency, and that latency, or nil when no untried
 // leaf may get a call now. typicalLatency is the usual latency of such calls.
 func (b *Balancer) Pick(service string, typicalLatency time.Duration, tried func(*Leaf) bool, now time.Time) (*Leaf,
@@ -272,10 +316,15 @@
 func (b *Balancer) newLeaf(e Entry) *Leaf {
 	x := exchanger.New(exchanger.Config{
 		Address: e.Address, LeafID: e.ID, HeaderNames: b.config.HeaderNames, MaxAnswerBytes: b.config.MaxAnswerBytes,
-		OnConnect: b.config.OnConnect,
+		OnConnect: b.config.OnConnect, LargeAnswers: b.config.LargeAnswers,
+		OnExcessBytes: func() {
+			b.config.Logger.Warn("leaf sent more bytes than an answer may have", "leaf", e.ID, "service", e.Service,
+				"address", e.Address)
+		},
 	})
-	x.SetConnectionLimit(b.connectionLimit(e.Service))
-	return &Leaf{entry: e, scorer: scorer.New(), exchanger: x}
+	l := &Leaf{entry: e, scorer: scorer.New(), exchanger: x}
+	b.applyLimitsLocked(l)
+	return l
 }
 
 // connectionLimit returns this node's share of the connections of a leaf.
@@ -287,12 +336,18 @@
 	return max(1, int(float64(connections)*usableConnectionShare/float64(b.liveNodes)))
 }
 
-func (b *Balancer) applyConnectionLimitsLocked() {
+func (b *Balancer) applyAllLimitsLocked() {
 	for _, l := range b.leaves {
-		l.exchanger.SetConnectionLimit(b.connectionLimit(l.entry.Service))
+		b.applyLimitsLocked(l)
 	}
 }
 
+// applyLimitsLocked sets this node's share of the leaf's connections and slots.
+func (b *Balancer) applyLimitsLocked(l *Leaf) {
+	l.exchanger.SetConnectionLimit(b.connectionLimit(l.entry.Service))
+	l.exchanger.SetShare(apportioner.CallsInFlight(l.entry.Slots, b.liveNodes))
+}
+
 // updateUsableLocked rebuilds the list of the service's leaves that may be called.
 func (b *Balancer) updateUsableLocked(service string) {
 	var leaves []*Leaf
@@ -302,6 +357,7 @@
 		}
 	}
 	b.usable[service] = leaves
+	b.summary = nil
 	if len(b.leavesByService[service]) == 0 {
 		delete(b.usable, service)
 		delete(b.leavesByService, service)
--- a/internal/upstream/balancer/balancer_test.go
+++ b/internal/upstream/balancer/balancer_test.go
@@ -124,6 +124,47 @@
 	is.Equal(pick(pools[0], start.Add(4*time.Second)), "a")
 }
 
+// The entry of a cold leaf changes with each heartbeat, because it states how long the leaf stays cold. A change must
+// neither hand out a token anew nor take away what has been saved up for the next call.
+func TestChangedEntryKeepsLevelOfColdTokens(t *testing.T) {
+	is := is.New(t)
+	const (
+		rate      = 2.0
+		heartbeat = 400 * time.Millisecond
+		coldFor   = 8 * time.Second
+	)
+	b, start, calls := newBalancer(1), time.Now(), 0
+	b.SetServices(map[string]balancer.Service{"s": {WarmUpRate: rate}})
+	for at := time.Duration(0); at < coldFor; at += 10 * time.Millisecond {
+		if at%heartbeat == 0 {
+			e := entry("a", "z1")
+			e.WarmUpLeft = coldFor - at
+			b.Put(e, start.Add(at))
+		}
+		if pick(b, start.Add(at)) != "" {
+			calls++
+		}
+	}
+	allowed := rate * coldFor.Seconds()
+	is.True(float64(calls) <= allowed)
+	is.True(float64(calls) >= 0.8*allowed)
+}
+
+func TestSummaryCountsUsableLeavesByZoneAndTheirSlots(t *testing.T) {
+	is := is.New(t)
+	b, now := newBalancer(1), time.Now()
+	is.Equal(b.Summary().Slots, 0)
+	for id, zone := range map[string]string{"a": "z1", "b": "z1", "c": "z2", "d": "z3"} {
+		e := entry(id, zone)
+		if id == "d" {
+			e.Slots = 9
+		}
+		b.Put(e, now)
+	}
+	b.SetEvacuatedZones(map[string]bool{"z2": true})
+	is.Equal(b.Summary(), balancer.Summary{ByZone: map[string]int{"z1": 2, "z3": 1}, Slots: 4})
+}
+
 func TestConnectionLimitIsSharedByLiveNodes(t *testing.T) {
 	is := is.New(t)
 	b, now := newBalancer(1), time.Now()
--- a/internal/view/detector/detector.go
+++ b/internal/view/detector/detector.go
@@ -8,14 +8,9 @@
 package detector
 
 import (
-	"cmp"
-	"math"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
@@ -23,8 +18,9 @@
 )
 
 const (
-	// maxRumours bounds the queued rumours that one message carries, besides the claims about its sender and receiver.
-	maxRumours = 8
+	// maxRumours bounds the queued rumours that one message carries, besides the claims about its sender and receiver. It
+	// is reached only when many nodes start or fail together.
+	maxRumours = 48
 	// rumourRepeatFactor times the binary logarithm of the fleet size is how many times each node sends a rumour.
 	rumourRepeatFactor = 3
 	// periodsPerRemoteProbe is the number of periods from one probe of a member in another region to the next.
@@ -42,11 +38,15 @@
 	lostRetention          = 10 * time.Minute // network partitions between regions last minutes
 
 	// maxRumourBacklog is the number of queued rumours above which a full exchange is cheaper than gossiping them.
-	maxRumourBacklog      = 2 * maxRumours
-	minEverythingInterval = 10 * time.Second
+	maxRumourBacklog = 2 * maxRumours
+	// A node requests all members again after minEverythingInterval as long as the answers bring news, and otherwise after
+	// twice the previous interval, up to maxEverythingInterval, as long as there is a reason to. When many nodes start or
+	// fail together, one answer is out of date as soon as it arrives, and rumours alone take tens of seconds.
+	minEverythingInterval = 500 * time.Millisecond
+	maxEverythingInterval = 10 * time.Second
 	// maxDigestMismatches is the number of consecutive mismatches above which a rumour must have been missed. Fewer occur
 	// while a single rumour spreads.
-	maxDigestMismatches = 20
+	maxDigestMismatches = 12
 
 	// goldenRatio64 is 2^64 divided by the golden ratio; it spreads start times over all bits of the digest.
 	goldenRatio64 = 0x9e3779b97f4a7c15
@@ -82,6 +82,11 @@
 		resyncPending bool
 		// everythingRequestedAt is when this node last requested all members; requests made before it joined do not count.
 		everythingRequestedAt time.Time
+		// everythingBroughtNews is set when the last answer with all members has changed this node's view.
+		everythingBroughtNews bool
+		// everythingInterval is the time until this node may request all members again, between minEverythingInterval and
+		// maxEverythingInterval.
+		everythingInterval time.Duration
 		// records holds the other nodes by name; a record's claim is never replaced by an older one.
 		records map[string]*record
 		// nameByAddress maps each peer address to the name of the newest process there.
@@ -189,55 +194,42 @@
 	d.invalidateMembers()
 }
 
-// Members returns the nodes that may be given work, sorted by name. The caller must not modify the slice.
-func (d *Detector) Members() []*pb.Member {
-	d.refreshMembers()
-	return d.members
-}
-
-// Generation returns a number that grows whenever a member joins, leaves, is declared dead, restarts, moves to another
-// address or no longer counts as lost.
-func (d *Detector) Generation() uint64 {
-	d.refreshMembers()
-	return d.generation
+// SetHelpers sets the number of further serving nodes that this node asks for. Unlike the load it must reach all nodes,
+// so a change is a new claim, which spreads as a rumour.
+func (d *Detector) SetHelpers(helpers uint32) {
+	if d.self.GetHelpers() == helpers {
+		return
+	}
+	d.self = proto.CloneOf(d.self)
+	d.self.Helpers = helpers
+	d.self.Incarnation++
+	d.invalidateMembers()
 }
 
 // Counters returns the event counts since the start.
 func (d *Detector) Counters() Counters { return d.counters }
 
-// Joined tells whether this node knows any other live node, suspects included.
-func (d *Detector) Joined() bool {
-	for _, r := range d.records {
-		if r.claim.GetState() != pb.MemberState_MEMBER_STATE_DEAD {
-			return true
-		}
-	}
-	return false
-}
-
 // WantsEverything tells whether the next probe is to request all members. A node that knows no live member always
-// requests them. Any other does so after a pause of the process, with a large backlog of rumours or after many
-// digest mismatches, at most once in minEverythingInterval.
+// requests them. Any other does so after a pause of the process, with a large backlog of rumours, after many digest
+// mismatches, or after any mismatch if the last answer with all members has brought news. The requests come at growing
+// intervals.
 func (d *Detector) WantsEverything(now time.Time) bool {
 	if !d.Joined() {
 		return true
 	}
-	due := d.resyncPending || len(d.transmissionsLeft) > maxRumourBacklog || d.digestMismatches > maxDigestMismatches
-	if !due || now.Sub(d.everythingRequestedAt) < minEverythingInterval {
+	due := d.resyncPending || len(d.transmissionsLeft) > maxRumourBacklog || d.digestMismatches > maxDigestMismatches ||
+		(d.everythingBroughtNews && d.digestMismatches > 0)
+	if !due || now.Sub(d.everythingRequestedAt) < d.everythingInterval {
 		return false
 	}
 	d.resyncPending = false
 	d.digestMismatches = 0
 	d.everythingRequestedAt = now
+	d.everythingInterval = min(max(2*d.everythingInterval, minEverythingInterval), maxEverythingInterval)
+	d.everythingBroughtNews = false
 	return true
 }
 
-// Digest returns a hash over the names and start times of the members.
-func (d *Detector) Digest() uint64 {
-	d.refreshMembers()
-	return d.digest
-}
-
 // ObserveDigest compares another node's digest with this node's. Digests differ while a rumour spreads; if they keep
 // differing, this node or the others missed a rumour.
 func (d *Detector) ObserveDigest(digest uint64) {
@@ -294,112 +286,3 @@
 	})
 	return addresses[:min(count, len(addresses))]
 }
-
-// Everything returns the claims about this node and all others it knows, dead ones included.
-func (d *Detector) Everything() []*pb.Member {
-	all := []*pb.Member{d.self}
-	for _, n := range d.sortedNames() {
-		all = append(all, d.records[n].claim)
-	}
-	return all
-}
-
-// Rumours returns the claims to put into a message to the address: first this node's own, then the one about the
-// receiver unless that is alive, so that it can refute it, then the queued rumours sent least often so far.
-func (d *Detector) Rumours(address string) []*pb.Member {
-	rumours := []*pb.Member{d.self}
-	receiver := d.nameByAddress[address]
-	if r := d.records[receiver]; r != nil && !acceptsWork(r.claim) {
-		rumours = append(rumours, r.claim)
-	}
-	for _, n := range d.leastSent(maxRumours) {
-		if n != receiver {
-			rumours = append(rumours, d.records[n].claim)
-		}
-		d.transmissionsLeft[n]--
-		if d.transmissionsLeft[n] <= 0 {
-			delete(d.transmissionsLeft, n)
-		}
-	}
-	return rumours
-}
-
-// leastSent returns the names of up to count members whose queued rumours have the most transmissions left.
-func (d *Detector) leastSent(count int) []string {
-	names := make([]string, 0, count+1)
-	byTransmissionsLeft := func(a, b string) int {
-		return cmp.Or(cmp.Compare(d.transmissionsLeft[b], d.transmissionsLeft[a]), strings.Compare(a, b))
-	}
-	for n := range d.transmissionsLeft {
-		if len(names) == count && byTransmissionsLeft(names[count-1], n) < 0 {
-			continue
-		}
-		at, _ := slices.BinarySearchFunc(names, n, byTransmissionsLeft)
-		names = slices.Insert(names, at, n)
-		names = names[:min(len(names), count)]
-	}
-	return names
-}
-
-// invalidateMembers makes the next read of the members compute them again.
-func (d *Detector) invalidateMembers() { d.membersStale = true }
-
-// liveMembers returns the nodes, this one included, that are not known to be dead: those that are leaving or, if the
-// argument is false, those that are not.
-func (d *Detector) liveMembers(leaving bool) []*pb.Member {
-	members := make([]*pb.Member, 0, len(d.records)+1)
-	if !d.superseded && acceptsWork(d.self) != leaving {
-		members = append(members, d.self)
-	}
-	for _, r := range d.records {
-		if r.leaving == leaving && r.claim.GetState() != pb.MemberState_MEMBER_STATE_DEAD {
-			members = append(members, r.claim)
-		}
-	}
-	return members
-}
-
-// refreshMembers computes the members and the digest if they are stale. The generation changes only with the members'
-// names, addresses and start times.
-func (d *Detector) refreshMembers() {
-	if !d.membersStale {
-		return
-	}
-	d.membersStale = false
-	members := d.liveMembers(false)
-	if len(members) == 0 {
-		members = d.liveMembers(true) // all nodes are leaving, and they serve until they stop
-	}
-	slices.SortFunc(members, func(a, b *pb.Member) int { return strings.Compare(a.GetName(), b.GetName()) })
-	if !slices.EqualFunc(members, d.members, sameNode) {
-		d.generation++
-	}
-	d.members = members
-	d.digest = 0
-	for _, m := range members {
-		d.digest ^= xxhash.Sum64String(m.GetName()) + uint64(m.GetStartedAt())*goldenRatio64
-	}
-}
-
-// queueRumour schedules the claim about the member for gossip.
-func (d *Detector) queueRumour(name string) {
-	d.transmissionsLeft[name] = rumourRepeatFactor * int(math.Ceil(math.Log2(float64(len(d.records)+2))))
-}
-
-func (d *Detector) sortedNames() []string {
-	names := make([]string, 0, len(d.records))
-	for n := range d.records {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	return names
-}
-
-func sameNode(a, b *pb.Member) bool {
-	return a.GetName() == b.GetName() && a.GetPeerAddress() == b.GetPeerAddress() &&
-		a.GetStartedAt() == b.GetStartedAt()
-}
-
-func acceptsWork(m *pb.Member) bool {
-	return m.GetState() == pb.MemberState_MEMBER_STATE_ALIVE
-}
--- a/internal/view/detector/merge.go
+++ b/internal/view/detector/merge.go
@@ -8,19 +8,32 @@
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 )
 
-// MergeRumours merges the rumours of a message; the first one is the sender's claim about itself. The claims of a
-// message with all members of the sender's view are not passed on as rumours: the other nodes request all members as
-// well.
+// MergeRumours merges the rumours of a message; the first one is the sender's claim about itself.
 func (d *Detector) MergeRumours(now time.Time, rumours []*pb.Member) {
-	if len(rumours) == 0 {
-		return
-	}
-	changed := false
-	d.mergingEverything = len(rumours) > 2+maxRumours
-	if d.mergingEverything && len(d.transmissionsLeft) > maxRumourBacklog {
+	d.mergingEverything = false
+	d.merge(now, rumours)
+}
+
+// MergeEverything merges a message with all members of the sender's view; the first one is the sender's claim about
+// itself. The claims are not passed on as rumours: the other nodes request all members as well.
+func (d *Detector) MergeEverything(now time.Time, members []*pb.Member) {
+	if len(d.transmissionsLeft) > maxRumourBacklog {
 		clear(d.transmissionsLeft) // nodes that miss these rumours request all members, as this one did
 	}
-	for _, m := range rumours {
+	d.mergingEverything = true
+	if d.merge(now, members) {
+		d.everythingBroughtNews = true
+		d.everythingInterval = minEverythingInterval
+	}
+}
+
+// merge merges claims and tells whether they changed the view.
+func (d *Detector) merge(now time.Time, claims []*pb.Member) bool {
+	if len(claims) == 0 {
+		return false
+	}
+	changed := false
+	for _, m := range claims {
 		switch {
 		case m.GetName() == "" || m.GetPeerAddress() == "":
 		case m.GetName() == d.self.GetName():
@@ -29,10 +42,10 @@
 			changed = d.mergeClaim(now, m) || changed
 		}
 	}
-	changed = d.updateLoad(rumours[0]) || changed
-	if changed {
+	if d.updateLoad(claims[0]) || changed {
 		d.invalidateMembers()
 	}
+	return changed
 }
 
 // HandleProbeFailure marks a member as suspect after neither a direct nor an indirect probe of it was answered.
--- a/internal/view/prober/fleet_test.go
+++ b/internal/view/prober/fleet_test.go
@@ -16,6 +16,7 @@
 
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
+	"github.com/magnoliastep/magnoliastep/internal/view/linker"
 	"github.com/magnoliastep/magnoliastep/internal/view/prober"
 )
 
@@ -42,11 +43,14 @@
 		messages       atomic.Uint64
 		runningProbers sync.WaitGroup
 		done           chan struct{}
+		// sparse makes nodes probe only the few peers that the linker chooses, as in a large fleet.
+		sparse bool
 	}
 
 	node struct {
 		fleet   *fleet
 		name    string
+		zone    string
 		address string
 		prober  *prober.Prober
 		clock   *gatedClock
@@ -54,6 +58,8 @@
 		killed  atomic.Bool
 		// deathsDeclared counts the nodes that this node declared dead.
 		deathsDeclared atomic.Int64
+		// helpers is the number of helpers that this node asks for.
+		helpers atomic.Uint32
 		// calledAddresses has the addresses that this node has sent a message to as keys.
 		calledAddresses sync.Map
 	}
@@ -81,15 +87,17 @@
 func (f *fleet) start(i, regions int, name string, seeds ...string) *node {
 	n := &node{fleet: f, name: name, address: nodeAddress(i), clock: &gatedClock{Clock: quartz.NewReal(), done: f.done}}
 	region := fmt.Sprintf("region-%d", i%regions)
+	n.zone = fmt.Sprintf("%s-%d", region, i/regions%zonesPerRegion)
 	n.prober = prober.New(prober.Config{
 		Self: &pb.Member{
-			Name: name, Region: region, AvailabilityZone: fmt.Sprintf("%s-%d", region, i/regions%zonesPerRegion),
+			Name: name, Region: region, AvailabilityZone: n.zone,
 			PeerAddress: n.address, CallerAddress: n.address, StartedAt: time.Now().UnixNano(), Incarnation: 1,
 		},
 		Messenger: n, Clock: n.clock, Logger: slog.New(slog.DiscardHandler),
 		Random:      rand.New(rand.NewPCG(uint64(i), 7)),
 		ProbePeriod: probePeriod, ProbeTimeout: probeTimeout, SuspicionPeriod: suspicionPeriod,
-		SeedPeers: seeds, Load: func() uint32 { return 0 }, OnDeath: func(string) { n.deathsDeclared.Add(1) },
+		SeedPeers: seeds, Load: func() uint32 { return 0 }, Helpers: n.helpers.Load, FilterTargets: f.filterTargets(name),
+		OnDeath: func(string) { n.deathsDeclared.Add(1) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
@@ -103,6 +111,14 @@
 	return n
 }
 
+// filterTargets returns the filter of a node's probe targets, or nil if it probes all.
+func (f *fleet) filterTargets(name string) func(names []string) []string {
+	if !f.sparse {
+		return nil
+	}
+	return func(names []string) []string { return linker.ChoosePeers(names, name) }
+}
+
 func (f *fleet) startMany(count, regions int) []*node {
 	nodes := make([]*node, 0, count)
 	for i := range count {
--- a/internal/view/prober/prober.go
+++ b/internal/view/prober/prober.go
@@ -62,6 +62,8 @@
 		FilterTargets func(names []string) []string
 		// Load returns the requests in progress on this node.
 		Load func() uint32
+		// Helpers returns the number of further serving nodes that this node asks for; nil means none.
+		Helpers func() uint32
 		// OnDeath is called with the peer address of each node that this node declares dead; nil means no call.
 		OnDeath func(address string)
 	}
@@ -234,6 +236,9 @@
 func (p *Prober) startProbes(ctx context.Context, now time.Time) {
 	p.mutex.Lock()
 	p.detector.SetLoad(p.config.Load())
+	if p.config.Helpers != nil {
+		p.detector.SetHelpers(p.config.Helpers())
+	}
 	dead := p.detector.Expire(now)
 	targets := p.detector.NextTargets(now)
 	p.logViewChangeLocked()
@@ -289,9 +294,13 @@
 		return nil, err
 	}
 	reply := frame.GetProbeReply()
-	p.mergeRumours(reply.GetRumours())
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if m.GetEverything() {
+		p.detector.MergeEverything(p.config.Clock.Now(), reply.GetRumours())
+	} else {
+		p.detector.MergeRumours(p.config.Clock.Now(), reply.GetRumours())
+	}
 	p.detector.ObserveDigest(reply.GetViewDigest())
 	return reply, nil
 }
