--- a/internal/upstream/exchanger/exchange.go
+++ b/internal/upstream/exchanger/exchange.go
@@ -121,8 +121,12 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read response head")
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols:
 			return response, nil
+		case response.StatusCode < http.StatusContinue:
+			// It is no informational answer, so what follows may be its body.
+			return nil, errors.Newf("status %d is not valid", response.StatusCode)
 		}
 	}
 	return nil, errors.Wrap(readlimiter.ErrLimit, "too many informational answers")
