Show size, duration and use of each pull of documents

"configuration in force" has bytes and previous_confirmed_ago now, "documents learned from a node" has bytes, took and superseded, and three metrics count them. No logic is changed.

--- a/internal/node/forwarder/metrics.go
+++ b/internal/node/forwarder/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
+	"github.com/magnoliastep/magnoliastep/internal/records/gossiper"
 )
 
 // registerGauges registers the gauges whose values are computed when metrics are read.
@@ -49,6 +50,18 @@
 	n.config.Metrics.GetOrCreateCounter(`stepfront_peer_bytes_total{kind="` + kind + `"}`).Add(bytes)
 }
 
+// observeTransfer logs and counts documents that came from another node.
+func (n *Node) observeTransfer(t gossiper.Transfer) {
+	n.config.Logger.Info("documents learned from a node", "from", t.From, "documents", t.Documents, "bytes", t.Bytes,
+		"took", t.Took, "superseded", t.Superseded)
+	m := n.config.Metrics
+	m.GetOrCreateHistogram(`stepfront_document_pull_seconds`).Update(t.Took.Seconds())
+	m.GetOrCreateCounter(`stepfront_document_pulled_bytes_total`).Add(t.Bytes)
+	if t.Superseded {
+		m.GetOrCreateCounter(`stepfront_document_pulls_superseded_total`).Inc()
+	}
+}
+
 // unregisterRemovedMetrics unregisters the metrics of routes and services that the new configuration does not have any
 // more. Without this the metrics of a process that runs for months would grow with each change of the configuration.
 func (n *Node) unregisterRemovedMetrics(old, current *matcher.Matcher) {
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -69,9 +69,7 @@
 		Kinds: kinds, PeerAddress: c.PeerAddress, Messenger: n.messenger, Replica: n.replicator, Peers: n.linkedPeers,
 		ForwardChanges: func() bool { return !linker.FullMesh(len(n.prober.Members())) },
 		Clock:          c.Clock, Logger: c.Logger,
-		OnDocuments: func(from string, documents int) {
-			c.Logger.Info("documents learned from a node", "from", from, "documents", documents)
-		},
+		OnDocuments: n.observeTransfer,
 	})
 	for _, k := range kinds {
 		wait := watchWait
@@ -135,7 +133,7 @@
 func (n *Node) documentChanged(d replicator.Document, confirmedBefore time.Time) {
 	switch d.Kind {
 	case n.config.Kinds.Configuration:
-		n.configurationChanged(d)
+		n.configurationChanged(d, confirmedBefore)
 	case n.config.Kinds.Leaves:
 		n.leafChanged(d, confirmedBefore)
 	case n.config.Kinds.Evacuations:
@@ -143,7 +141,7 @@
 	}
 }
 
-func (n *Node) configurationChanged(d replicator.Document) {
+func (n *Node) configurationChanged(d replicator.Document, confirmedBefore time.Time) {
 	if d.Deleted {
 		n.config.Logger.Warn("configuration was deleted in the store; the last one stays in force", "document", d.Name)
 		return
@@ -172,7 +170,8 @@
 	m := matcher.New(c)
 	n.unregisterRemovedMetrics(n.matcher.Swap(m), m)
 	n.config.Logger.Info("configuration in force", "config_version", c.Version, "revision", d.Revision,
-		"routes", len(c.Routes), "services", len(c.Services))
+		"routes", len(c.Routes), "services", len(c.Services), "bytes", len(d.Data),
+		"previous_confirmed_ago", n.config.Clock.Since(confirmedBefore))
 }
 
 func (n *Node) leafChanged(d replicator.Document, confirmedBefore time.Time) {
--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -60,11 +60,22 @@
 		// ForwardChanges reports whether Peers omits some nodes, so that changes from other nodes have to be forwarded.
 		ForwardChanges func() bool
 		Clock          quartz.Clock
-		// OnDocuments is called with the number of documents that came from another node.
-		OnDocuments func(from string, documents int)
+		// OnDocuments is called for each pull that brought documents.
+		OnDocuments func(Transfer)
 		Logger      *slog.Logger
 	}
 
+	// Transfer describes the documents that one pull has brought.
+	Transfer struct {
+		From      string
+		Documents int
+		Bytes     int
+		// Took is the time from the pull to the end of the answer.
+		Took time.Duration
+		// Superseded is set if this node had learned the documents from elsewhere in the meantime.
+		Superseded bool
+	}
+
 	// Gossiper exchanges documents with other nodes. It is safe for concurrent use.
 	Gossiper struct {
 		config Config
@@ -199,13 +210,18 @@
 func (g *Gossiper) Pull(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	pull := &pb.DocumentPull{Positions: g.positions()}
+	pull, requestedAt := &pb.DocumentPull{Positions: g.positions()}, g.config.Clock.Now()
 	reply, err := g.config.Messenger.Call(ctx, address, messenger.PlaneControl,
 		&pb.Frame{Body: &pb.Frame_DocumentPull{DocumentPull: pull}})
 	if err != nil {
 		return err
 	}
-	g.applyDocuments(pull, reply.GetFrom(), reply.GetDocuments())
+	if transfer := describeTransfer(reply); transfer.Documents > 0 {
+		transfer.Took = g.config.Clock.Since(requestedAt)
+		transfer.Superseded = !g.isBehind(&pb.DocumentNotice{Positions: reply.GetDocuments().GetPositions()})
+		g.config.OnDocuments(transfer)
+	}
+	g.applyDocuments(pull, reply.GetDocuments())
 	return nil
 }
 
@@ -230,7 +246,15 @@
 	return reply
 }
 
-func (g *Gossiper) applyDocuments(pull *pb.DocumentPull, from string, m *pb.Documents) {
+func describeTransfer(reply *pb.Frame) Transfer {
+	t := Transfer{From: reply.GetFrom(), Documents: len(reply.GetDocuments().GetDocuments())}
+	for _, d := range reply.GetDocuments().GetDocuments() {
+		t.Bytes += len(d.GetData())
+	}
+	return t
+}
+
+func (g *Gossiper) applyDocuments(pull *pb.DocumentPull, m *pb.Documents) {
 	byKind := map[string][]replicator.Document{}
 	for _, d := range m.GetDocuments() {
 		byKind[d.GetKind()] = append(byKind[d.GetKind()], replicator.Document{
@@ -257,9 +281,6 @@
 	if len(m.GetPositions()) > 0 && g.config.ForwardChanges() {
 		g.Announce()
 	}
-	if len(m.GetDocuments()) > 0 {
-		g.config.OnDocuments(from, len(m.GetDocuments()))
-	}
 }
 
 func (g *Gossiper) sendNotices(ctx context.Context, peers []string) {
--- a/internal/records/gossiper/gossiper_test.go
+++ b/internal/records/gossiper/gossiper_test.go
@@ -95,7 +95,7 @@
 				return peers
 			},
 			ForwardChanges: func() bool { return !linker.FullMesh(nodes) },
-			OnDocuments:    func(string, int) {}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			OnDocuments:    func(gossiper.Transfer) {}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
 		f.gossiper[name], f.replica[name] = g, r
 		go g.Run(ctx)
