Known red: large configurations congest the links, late notices confirm old versions

Two tests in virtual time that fail on the current code: one change of 800 kB has not reached all of 74 nodes with links of 20 Mb/s after 30 s, and a notice that was 4 s on its way confirms an old version 4 s too late.

--- a/internal/records/gossiper/gossiper_test.go
+++ b/internal/records/gossiper/gossiper_test.go
@@ -38,6 +38,8 @@
 	unresponsive sync.Map
 	// pulledDocuments counts the documents in all answers to pulls.
 	pulledDocuments atomic.Int64
+	// links delay each frame by its size; nil for links of no limit.
+	links *slowLinks
 }
 
 // peerMessenger carries the frames of one node.
@@ -51,7 +53,7 @@
 		return errors.New("node is isolated")
 	}
 	go func() {
-		time.Sleep(delay)
+		m.fleet.transmit(m.from, to, f)
 		m.fleet.gossiper[to].HandleNotice(context.Background(), f.GetDocumentNotice())
 	}()
 	return nil
@@ -65,10 +67,30 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	time.Sleep(2 * delay)
-	answer := m.fleet.gossiper[to].HandlePull(f.GetDocumentPull())
-	m.fleet.pulledDocuments.Add(int64(len(answer.GetDocuments())))
-	return &pb.Frame{From: to, Body: &pb.Frame_Documents{Documents: answer}}, nil
+	answers := make(chan *pb.Frame, 1)
+	go func() {
+		m.fleet.transmit(m.from, to, f)
+		answer := m.fleet.gossiper[to].HandlePull(f.GetDocumentPull())
+		m.fleet.pulledDocuments.Add(int64(len(answer.GetDocuments())))
+		reply := &pb.Frame{From: to, Body: &pb.Frame_Documents{Documents: answer}}
+		m.fleet.transmit(to, m.from, reply)
+		answers <- reply
+	}()
+	select {
+	case reply := <-answers:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// transmit returns when a frame has arrived.
+func (f *fleet) transmit(from, to string, frame *pb.Frame) {
+	if f.links == nil {
+		time.Sleep(delay)
+		return
+	}
+	f.links.transmit(from, to, frame)
 }
 
 func (f *fleet) isIsolated(name string) bool {
