Send large documents as patches, in parts, one pull at a time

Cause: each change sent the whole configuration (419 kB with 2,251 routes) to each node; a pull that took over 100 ms was made again elsewhere while it was under way, and one over 800 ms had sent its bytes for nothing, so the more the links were behind, the more was sent. Class: cost of a change = nodes x size, with retries that feed the congestion they wait for.

Evidence: 57% of the large pulls brought what the node already had, half took over 0.52 s. TestChangesOfLargeConfigurationReachAllNodesInTime failed before: not all of 74 nodes after 30 s, 51 MB received by each.

Why this works: a patch against the revision that the receiver holds makes the cost of a change that of what changed; what is still large is compressed and comes in parts of 32 kB that the receiver requests one by one, so that at most one part a node is under way, a lost part costs one part, and a transfer goes on at the next node. A pull that times out doubles the time allowed instead of asking more nodes. The test now takes 60 ms, 0.2 MB.

--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/records/gossiper"
+	"github.com/magnoliastep/magnoliastep/internal/records/patcher"
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
@@ -122,6 +123,7 @@
 		ready      atomic.Bool
 		replicator *replicator.Replicator
 		watchers   []*watcher.Watcher
+		patcher    *patcher.Patcher
 		gossiper   *gossiper.Gossiper
 		messenger  *messenger.Messenger
 		prober     *prober.Prober
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
 	"github.com/magnoliastep/magnoliastep/internal/forward/sanitizer"
 	"github.com/magnoliastep/magnoliastep/internal/records/gossiper"
+	"github.com/magnoliastep/magnoliastep/internal/records/patcher"
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
@@ -63,10 +64,12 @@
 
 func (n *Node) assembleRecords() {
 	c := n.config
+	n.patcher = patcher.New()
 	n.replicator = replicator.New(replicator.Config{Clock: c.Clock, OnChange: n.documentChanged})
 	kinds := []string{c.Kinds.Configuration, c.Kinds.Leaves, c.Kinds.Evacuations}
 	n.gossiper = gossiper.New(gossiper.Config{
-		Kinds: kinds, PeerAddress: c.PeerAddress, Messenger: n.messenger, Replica: n.replicator, Peers: n.linkedPeers,
+		Kinds: kinds, PeerAddress: c.PeerAddress, Messenger: n.messenger, Replica: n.replicator,
+		Patcher: n.patcher, Peers: n.linkedPeers,
 		ForwardChanges: func() bool { return !linker.FullMesh(len(n.prober.Members())) },
 		Clock:          c.Clock, Logger: c.Logger,
 		OnDocuments: n.observeTransfer,
@@ -131,6 +134,7 @@
 
 // documentChanged applies a document that is new to this node.
 func (n *Node) documentChanged(d replicator.Document, confirmedBefore time.Time) {
+	n.patcher.Record(d)
 	switch d.Kind {
 	case n.config.Kinds.Configuration:
 		n.configurationChanged(d, confirmedBefore)
--- /dev/null
+++ b/internal/records/gossiper/pull.go
@@ -0,0 +1,275 @@
+package gossiper
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
+	"github.com/magnoliastep/magnoliastep/internal/records/joiner"
+	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
+)
+
+// partialAnswer is the received part of an answer to a pull.
+type partialAnswer struct {
+	joiner joiner.Joiner
+	// pull is the pull without the state of the transfer.
+	pull *pb.DocumentPull
+}
+
+// pullPending pulls from the sender of a notice. Several nodes send the same notice at nearly the same time. They are
+// asked one after the other, until this node has what each of them announced.
+func (g *Gossiper) pullPending(ctx context.Context, n notice) {
+	if !g.addPendingNotice(n) {
+		return
+	}
+	ctx = context.WithoutCancel(ctx)
+	for pending, ok := g.takePendingNotice(); ok; pending, ok = g.takePendingNotice() {
+		if !g.isWorthPulling(pending) {
+			continue
+		}
+		if err := g.Pull(ctx, pending.GetPeerAddress()); err != nil {
+			g.config.Logger.Info("documents not pulled", "peer_address", pending.GetPeerAddress(), "error", err.Error())
+		}
+	}
+}
+
+// Pull asks one node for the documents that this node lacks, one part after the other, and applies them.
+func (g *Gossiper) Pull(ctx context.Context, address string) error {
+	partial := g.takePartial()
+	transfer := Transfer{}
+	startedAt := g.config.Clock.Now()
+	for {
+		reply, err := g.pullPart(ctx, address, partial)
+		if err != nil {
+			g.keepPartial(partial)
+			return err
+		}
+		answer, complete, err := partial.joiner.Add(reply.GetDocuments())
+		if err != nil {
+			return err
+		}
+		transfer.Bytes += len(reply.GetDocuments().GetPart())
+		if !complete {
+			continue
+		}
+		documents, err := g.decodeDocuments(answer)
+		if err != nil {
+			return err
+		}
+		transfer.From, transfer.Documents = reply.GetFrom(), len(documents)
+		transfer.Took = g.config.Clock.Since(startedAt)
+		g.observe(transfer, answer)
+		g.applyDocuments(partial.pull, answer, documents, reply.GetDocuments().GetPositions())
+		return nil
+	}
+}
+
+// pullPart pulls the next part of an answer.
+func (g *Gossiper) pullPart(ctx context.Context, address string, p *partialAnswer) (*pb.Frame, error) {
+	g.mutex.Lock()
+	timeout := g.partTimeout
+	g.mutex.Unlock()
+	callContext, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	pull := &pb.DocumentPull{Positions: p.pull.GetPositions(), Held: p.pull.GetHeld(), Parts: true}
+	pull.Transfer, pull.Offset = p.joiner.Next()
+	reply, err := g.config.Messenger.Call(callContext, address, messenger.PlaneControl,
+		&pb.Frame{Body: &pb.Frame_DocumentPull{DocumentPull: pull}})
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	switch {
+	case err == nil:
+		g.partTimeout = minPartTimeout
+	case callContext.Err() != nil:
+		g.partTimeout = min(2*timeout, maxPartTimeout)
+	}
+	return reply, err
+}
+
+// takePartial returns the interrupted answer if this node's documents are still those of its pull, or else a new one.
+func (g *Gossiper) takePartial() *partialAnswer {
+	pull := &pb.DocumentPull{Positions: g.positions(), Held: g.config.Patcher.Held()}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	p := g.partial
+	g.partial = nil
+	if p == nil || !maps.Equal(revisions(p.pull.GetPositions()), revisions(pull.GetPositions())) {
+		return &partialAnswer{pull: pull}
+	}
+	return p
+}
+
+func (g *Gossiper) keepPartial(p *partialAnswer) {
+	if _, offset := p.joiner.Next(); offset == 0 {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.partial = p
+}
+
+// HandlePull answers another node's pull with the documents that it lacks, or a part of them.
+func (g *Gossiper) HandlePull(m *pb.DocumentPull) *pb.Documents {
+	if m.GetTransfer() != 0 {
+		if part := g.chunker.Continue(m.GetTransfer(), m.GetOffset()); part != nil {
+			part.Positions = g.positions()
+			return part
+		}
+	}
+	answer := g.collectDocuments(m)
+	if !m.GetParts() {
+		answer.Positions = g.positionsOf(answer.GetPositions())
+		return answer
+	}
+	reply, err := g.chunker.Cut(answer, m.GetTransfer(), m.GetOffset())
+	if err != nil {
+		g.config.Logger.Error("answer to a pull not encoded", "error", err)
+		return &pb.Documents{}
+	}
+	if reply == answer {
+		reply.Positions = g.positionsOf(answer.GetPositions())
+	} else {
+		reply.Positions = g.positions()
+	}
+	return reply
+}
+
+// collectDocuments returns the documents that the sender of a pull lacks, with the revisions up to which they are
+// complete. It depends only on the pull and on this node's documents, so that nodes that are equally far answer alike.
+func (g *Gossiper) collectDocuments(m *pb.DocumentPull) *pb.Documents {
+	held := map[[2]string]int64{}
+	for _, h := range m.GetHeld() {
+		held[[2]string{h.GetKind(), h.GetName()}] = h.GetRevision()
+	}
+	answer := &pb.Documents{}
+	for _, p := range m.GetPositions() {
+		documents, position, whole := g.config.Replica.ChangesSince(p.GetKind(), p.GetRevision())
+		if position.Revision < p.GetRevision() || position.Revision == 0 {
+			continue
+		}
+		answer.Positions = append(answer.Positions, &pb.DocumentPosition{Kind: p.GetKind(), Revision: position.Revision})
+		if position.Revision == p.GetRevision() {
+			continue
+		}
+		if whole {
+			answer.WholeKinds = append(answer.WholeKinds, p.GetKind())
+		}
+		for _, d := range documents {
+			answer.Documents = append(answer.Documents, g.encodeDocument(d, held[[2]string{d.Kind, d.Name}]))
+		}
+	}
+	return answer
+}
+
+// encodeDocument encodes a document as a patch if the receiver holds a known revision of it, or else whole.
+func (g *Gossiper) encodeDocument(d replicator.Document, held int64) *pb.Document {
+	encoded := &pb.Document{Kind: d.Kind, Name: d.Name, Revision: d.Revision, Deleted: d.Deleted}
+	if held > 0 {
+		encoded.Patch = g.config.Patcher.Patch(d, held)
+	}
+	if encoded.GetPatch() == nil {
+		encoded.Data = d.Data
+	}
+	return encoded
+}
+
+// decodeDocuments returns the documents of an answer, by kind.
+func (g *Gossiper) decodeDocuments(m *pb.Documents) ([]replicator.Document, error) {
+	documents := make([]replicator.Document, 0, len(m.GetDocuments()))
+	for _, d := range m.GetDocuments() {
+		data := d.GetData()
+		if d.GetPatch() != nil {
+			patched, err := g.config.Patcher.Apply(d.GetKind(), d.GetName(), d.GetPatch())
+			if err != nil {
+				return nil, err
+			}
+			data = patched
+		}
+		documents = append(documents, replicator.Document{
+			Kind: d.GetKind(), Name: d.GetName(), Revision: d.GetRevision(), Deleted: d.GetDeleted(), Data: data,
+		})
+	}
+	return documents, nil
+}
+
+// applyDocuments applies an answer.
+func (g *Gossiper) applyDocuments(pull *pb.DocumentPull, m *pb.Documents, documents []replicator.Document,
+	positions []*pb.DocumentPosition,
+) {
+	byKind := map[string][]replicator.Document{}
+	for _, d := range documents {
+		byKind[d.Kind] = append(byKind[d.Kind], d)
+	}
+	after := revisions(pull.GetPositions())
+	advanced := false
+	for _, p := range m.GetPositions() {
+		kind, revision := p.GetKind(), p.GetRevision()
+		confirmedAt := confirmationTime(positions, p, g.config.Clock.Now())
+		known := g.config.Replica.Position(kind)
+		advanced = advanced || revision > known.Revision || confirmedAt.Sub(known.ConfirmedAt) > minForwardAdvance
+		if slices.Contains(m.GetWholeKinds(), kind) {
+			g.config.Replica.ApplyList(kind, byKind[kind], revision, confirmedAt)
+		} else {
+			g.config.Replica.ApplyChanges(kind, after[kind], byKind[kind], revision, confirmedAt)
+		}
+	}
+	if advanced && g.config.ForwardChanges() {
+		g.Announce()
+	}
+}
+
+// observe reports a pull that brought documents.
+func (g *Gossiper) observe(t Transfer, m *pb.Documents) {
+	if t.Documents == 0 {
+		return
+	}
+	if t.Bytes == 0 {
+		for _, d := range m.GetDocuments() {
+			t.Bytes += len(d.GetData())
+		}
+	}
+	t.Superseded = !g.isBehind(m.GetPositions())
+	g.config.OnDocuments(t)
+}
+
+// isBehind reports whether this node's revision of any kind is below that of a position.
+func (g *Gossiper) isBehind(positions []*pb.DocumentPosition) bool {
+	return slices.ContainsFunc(positions, func(p *pb.DocumentPosition) bool {
+		return p.GetRevision() > g.config.Replica.Position(p.GetKind()).Revision
+	})
+}
+
+// confirmationTime returns when a position of an answer was confirmed, or zero if the sender's position
+// has changed since.
+func confirmationTime(positions []*pb.DocumentPosition, of *pb.DocumentPosition, now time.Time) time.Time {
+	for _, p := range positions {
+		if p.GetKind() == of.GetKind() && p.GetRevision() == of.GetRevision() && p.GetConfirmedAgo() != nil {
+			return now.Add(-p.GetConfirmedAgo().AsDuration())
+		}
+	}
+	return time.Time{}
+}
+
+// positionsOf returns this node's positions for the kinds of which it still has the stated revision, as of now.
+func (g *Gossiper) positionsOf(stated []*pb.DocumentPosition) []*pb.DocumentPosition {
+	positions := make([]*pb.DocumentPosition, 0, len(stated))
+	for _, s := range stated {
+		p := g.encodePosition(s.GetKind(), g.config.Replica.Position(s.GetKind()))
+		if p.GetRevision() != s.GetRevision() {
+			p = s
+		}
+		positions = append(positions, p)
+	}
+	return positions
+}
+
+func revisions(positions []*pb.DocumentPosition) map[string]int64 {
+	byKind := make(map[string]int64, len(positions))
+	for _, p := range positions {
+		byKind[p.GetKind()] = p.GetRevision()
+	}
+	return byKind
+}
--- /dev/null
+++ b/internal/records/joiner/joiner.go
@@ -0,0 +1,68 @@
+// Package joiner puts together an answer that arrives in parts.
+package joiner
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+)
+
+const (
+	// maxCompressedBytes and maxPlainBytes bound an answer before and after decompression.
+	maxCompressedBytes = 16 << 20
+	maxPlainBytes      = 64 << 20
+)
+
+// Joiner holds the parts of one answer. The zero value has none. It is not safe for concurrent use.
+type Joiner struct {
+	transfer uint64
+	// received are the first bytes of the answer whose digest is transfer.
+	received []byte
+}
+
+// Next returns the transfer to continue and the offset of the part that is missing next; both are 0 without parts.
+func (j *Joiner) Next() (transfer, offset uint64) {
+	return j.transfer, uint64(len(j.received))
+}
+
+// Add adds a part. It returns the answer and true once that is complete. A part of another answer replaces what
+// was received so far; it must be the first one. After an error the Joiner has no parts.
+func (j *Joiner) Add(m *pb.Documents) (answer *pb.Documents, complete bool, err error) {
+	if m.GetSize() == 0 {
+		*j = Joiner{}
+		return m, true, nil
+	}
+	if m.GetTransfer() != j.transfer {
+		*j = Joiner{transfer: m.GetTransfer()}
+	}
+	if m.GetOffset() != uint64(len(j.received)) || len(m.GetPart()) == 0 || m.GetSize() > maxCompressedBytes ||
+		m.GetOffset()+uint64(len(m.GetPart())) > m.GetSize() {
+		*j = Joiner{}
+		return nil, false, errors.Newf("joiner: part of %d bytes at %d of %d does not fit",
+			len(m.GetPart()), m.GetOffset(), m.GetSize())
+	}
+	j.received = append(j.received, m.GetPart()...)
+	if uint64(len(j.received)) < m.GetSize() {
+		return nil, false, nil
+	}
+	received, transfer := j.received, j.transfer
+	*j = Joiner{}
+	if xxhash.Sum64(received) != transfer {
+		return nil, false, errors.New("joiner: answer has another digest")
+	}
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(received)), maxPlainBytes))
+	if err != nil {
+		return nil, false, errors.Wrap(err, "decompress documents")
+	}
+	answer = &pb.Documents{}
+	if err := proto.Unmarshal(plain, answer); err != nil {
+		return nil, false, errors.Wrap(err, "decode documents")
+	}
+	return answer, true, nil
+}
