Count the age of a confirmation from the pull that asked for it

Cause: a notice states how long ago a position was confirmed, and the receiver counted from its arrival. Time in queues and sockets counted as none, so a node behind a congested link took an old version for current; it answered 404 where it would have refused, and did not take over as reader. Class: an age measured at one end of a path of unknown delay and used at the other.

Why this works: a notice now only tells that a pull is worthwhile. The answer was made after the pull was sent, so the time of the pull less the stated age is never later than the confirmation; delays make a confirmation older, never younger.

--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -3,6 +3,9 @@
 // from the sender. Notices are also sent periodically, so that a node that can't read the store, or that missed a
 // notice, catches up from any other node.
 //
+// A notice only says that a pull is worthwhile. When a position was confirmed is learned from the answer to a pull and
+// counted from the time of the pull, because a notice may have waited on its way for any time.
+//
 // One pull at a time is under way. Its answer holds patches of large documents and comes in parts of bounded size, so
 // that documents that are large or change often do not congest the links.
 package gossiper
@@ -10,6 +13,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,6 +104,8 @@
 		pendingNotices map[string]notice
 		// pulling is set while a goroutine works through pendingNotices.
 		pulling bool
+		// announced has, by kind, the revisions above this node's that notices have announced, in ascending order.
+		announced map[string][]announcedRevision
 		// partial is the answer of which a pull was interrupted; nil without one.
 		partial *partialAnswer
 		// partTimeout is the current bound of a pull, minPartTimeout to maxPartTimeout.
@@ -111,13 +117,19 @@
 		*pb.DocumentNotice
 		receivedAt time.Time
 	}
+
+	// announcedRevision is a revision and when a notice first announced it.
+	announcedRevision struct {
+		revision int64
+		at       time.Time
+	}
 )
 
 // New returns a Gossiper.
 func New(c Config) *Gossiper {
 	return &Gossiper{
 		config: c, announcements: make(chan struct{}, 1), chunker: chunker.New(), pendingNotices: map[string]notice{},
-		partTimeout: minPartTimeout,
+		announced: map[string][]announcedRevision{}, partTimeout: minPartTimeout,
 	}
 }
 
@@ -146,30 +158,59 @@
 	}
 }
 
-// HandleNotice takes over the confirmations in another node's notice, and pulls from that node if this one is behind.
+// HandleNotice pulls from the sender of a notice if that has newer documents or a newer confirmation of this node's.
 func (g *Gossiper) HandleNotice(ctx context.Context, m *pb.DocumentNotice) {
 	n := notice{m, g.config.Clock.Now()}
-	confirmed := false
-	for _, p := range n.GetPositions() {
-		known := g.config.Replica.Position(p.GetKind())
-		if p.GetRevision() != known.Revision {
-			continue
-		}
-		at := n.receivedAt.Add(-p.GetConfirmedAgo().AsDuration())
-		confirmed = confirmed || at.Sub(known.ConfirmedAt) > minForwardAdvance
-		g.config.Replica.Confirm(p.GetKind(), known.Revision, at)
-	}
-	if confirmed && g.config.ForwardChanges() {
-		g.Announce()
-	}
+	g.recordAnnounced(n)
 	if g.isWorthPulling(n) {
 		g.pullPending(ctx, n)
 	}
 }
 
-// isWorthPulling reports whether the sender of a notice has a newer revision of any kind.
+// BehindSince returns when this node first learned of a revision of a kind that it still has not got. behind is false
+// if it knows of none.
+func (g *Gossiper) BehindSince(kind string) (since time.Time, behind bool) {
+	revision := g.config.Replica.Position(kind).Revision
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, a := range g.announced[kind] {
+		if a.revision > revision {
+			return a.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// recordAnnounced keeps the revisions of a notice that are above this node's, and drops those that it has reached.
+func (g *Gossiper) recordAnnounced(n notice) {
+	for _, p := range n.GetPositions() {
+		known := g.config.Replica.Position(p.GetKind()).Revision
+		g.mutex.Lock()
+		announced := slices.DeleteFunc(g.announced[p.GetKind()], func(a announcedRevision) bool { return a.revision <= known })
+		newest := known
+		if len(announced) > 0 {
+			newest = announced[len(announced)-1].revision
+		}
+		if p.GetRevision() > newest {
+			announced = append(announced, announcedRevision{p.GetRevision(), n.receivedAt})
+		}
+		g.announced[p.GetKind()] = announced
+		g.mutex.Unlock()
+	}
+}
+
+// isWorthPulling reports whether the sender of a notice has a newer revision of any kind, or a confirmation of this
+// node's revision that seems newer by more than minForwardAdvance.
 func (g *Gossiper) isWorthPulling(n notice) bool {
-	return g.isBehind(n.GetPositions())
+	for _, p := range n.GetPositions() {
+		known := g.config.Replica.Position(p.GetKind())
+		confirmedAt := n.receivedAt.Add(-p.GetConfirmedAgo().AsDuration())
+		if p.GetRevision() > known.Revision ||
+			(p.GetRevision() == known.Revision && confirmedAt.Sub(known.ConfirmedAt) > minForwardAdvance) {
+			return true
+		}
+	}
+	return false
 }
 
 // addPendingNotice stores a notice. It returns true if no goroutine works through the pending notices yet, so that the
--- a/internal/records/gossiper/pull.go
+++ b/internal/records/gossiper/pull.go
@@ -42,6 +42,7 @@
 	transfer := Transfer{}
 	startedAt := g.config.Clock.Now()
 	for {
+		requestedAt := g.config.Clock.Now()
 		reply, err := g.pullPart(ctx, address, partial)
 		if err != nil {
 			g.keepPartial(partial)
@@ -62,7 +63,7 @@
 		transfer.From, transfer.Documents = reply.GetFrom(), len(documents)
 		transfer.Took = g.config.Clock.Since(startedAt)
 		g.observe(transfer, answer)
-		g.applyDocuments(partial.pull, answer, documents, reply.GetDocuments().GetPositions())
+		g.applyDocuments(partial.pull, answer, documents, reply.GetDocuments().GetPositions(), requestedAt)
 		return nil
 	}
 }
@@ -195,9 +196,9 @@
 	return documents, nil
 }
 
-// applyDocuments applies an answer.
+// applyDocuments applies an answer. Its positions were confirmed at the stated time before requestedAt or later.
 func (g *Gossiper) applyDocuments(pull *pb.DocumentPull, m *pb.Documents, documents []replicator.Document,
-	positions []*pb.DocumentPosition,
+	positions []*pb.DocumentPosition, requestedAt time.Time,
 ) {
 	byKind := map[string][]replicator.Document{}
 	for _, d := range documents {
@@ -207,7 +208,7 @@
 	advanced := false
 	for _, p := range m.GetPositions() {
 		kind, revision := p.GetKind(), p.GetRevision()
-		confirmedAt := confirmationTime(positions, p, g.config.Clock.Now())
+		confirmedAt := confirmationTime(positions, p, requestedAt)
 		known := g.config.Replica.Position(kind)
 		advanced = advanced || revision > known.Revision || confirmedAt.Sub(known.ConfirmedAt) > minForwardAdvance
 		if slices.Contains(m.GetWholeKinds(), kind) {
@@ -242,12 +243,12 @@
 	})
 }
 
-// confirmationTime returns when a position of an answer was confirmed, or zero if the sender's position
+// confirmationTime returns when a position of an answer was confirmed at the earliest, or zero if the sender's position
 // has changed since.
-func confirmationTime(positions []*pb.DocumentPosition, of *pb.DocumentPosition, now time.Time) time.Time {
+func confirmationTime(positions []*pb.DocumentPosition, of *pb.DocumentPosition, requestedAt time.Time) time.Time {
 	for _, p := range positions {
 		if p.GetKind() == of.GetKind() && p.GetRevision() == of.GetRevision() && p.GetConfirmedAgo() != nil {
-			return now.Add(-p.GetConfirmedAgo().AsDuration())
+			return requestedAt.Add(-p.GetConfirmedAgo().AsDuration())
 		}
 	}
 	return time.Time{}
