Confirm documents when the store's answer was made, not when it was read

What callers would see: the same 404 from an old version as in the incident, on a node that reads the store itself while frozen or behind a congested link. Cause: the watcher took the time after the answer had been read.

Evidence: TestAnswerThatWaitedInSocketConfirmsWhenItWasMade failed before (confirmed 4 s too late). TestWatcherPausesWhileHistoryIsGone guards a second gap in the same function: a store that drops its history again and again was listed without a pause.

Why this works: an answer with changes is as old as its request, one without is as old as the end of the wait. So that positions do not look old after changes, which would make other nodes read as well, the watch after a change waits for less (TestPositionIsConfirmedSoonAfterChanges).

--- a/internal/records/watcher/watcher.go
+++ b/internal/records/watcher/watcher.go
@@ -24,6 +24,9 @@
 	idlePollPeriod = 50 * time.Millisecond
 	// batchDelay is the pause after a change, so that the next call returns all changes made during it.
 	batchDelay = 150 * time.Millisecond
+	// minWait bounds the wait of a watch that follows a change. It is shorter than Config.Wait, because an answer with
+	// changes leaves the position with an old confirmation.
+	minWait = 250 * time.Millisecond
 )
 
 // ErrHistoryGone is returned when the store has dropped changes that the watch would have returned.
@@ -69,6 +72,8 @@
 		reading bool
 		// failingSince is when the store stopped answering; it is valid while failing is set.
 		failingSince time.Time
+		// historyGonePause is the pause before the next list if the history is gone once more; 0 after a watch.
+		historyGonePause time.Duration
 	}
 )
 
@@ -107,21 +112,50 @@
 	if after == 0 {
 		return w.list(ctx)
 	}
-	documents, revision, err := w.config.Store.Watch(ctx, w.config.Kind, after, w.config.Wait)
+	requestedAt, wait := w.config.Clock.Now(), w.wait()
+	documents, revision, err := w.config.Store.Watch(ctx, w.config.Kind, after, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		w.config.Logger.Info("store dropped its history", "kind", w.config.Kind, "after", after)
+		w.pauseIfHistoryGoneAgain(ctx)
 		return w.list(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	w.config.Replica.ApplyChanges(w.config.Kind, after, documents, revision, w.config.Clock.Now())
+	w.historyGonePause = 0
+	confirmedAt := confirmationTime(requestedAt, w.config.Clock.Now(), wait, len(documents) > 0)
+	w.config.Replica.ApplyChanges(w.config.Kind, after, documents, revision, confirmedAt)
 	if len(documents) > 0 {
 		sleeper.Sleep(ctx, w.config.Clock, batchDelay)
 	}
 	return nil
 }
 
+// wait returns how long the next watch waits for a change, so that the position is confirmed within Config.Wait.
+func (w *Watcher) wait() time.Duration {
+	age := w.config.Clock.Since(w.config.Replica.Position(w.config.Kind).ConfirmedAt)
+	return min(max(w.config.Wait-age, minWait), w.config.Wait)
+}
+
+// confirmationTime returns when the store answered a watch at the earliest. The answer may have waited in a socket for
+// any time before it was read. The store makes an answer without changes when the wait is over; one with changes may have
+// been made as soon as the watch was requested.
+func confirmationTime(requestedAt, readAt time.Time, wait time.Duration, changes bool) time.Time {
+	waitedUntil := requestedAt.Add(wait)
+	if changes || readAt.Before(waitedUntil) {
+		return requestedAt
+	}
+	return waitedUntil
+}
+
+// pauseIfHistoryGoneAgain pauses if the history was gone at the last watch too, longer each time.
+func (w *Watcher) pauseIfHistoryGoneAgain(ctx context.Context) {
+	if w.historyGonePause > 0 {
+		sleeper.Sleep(ctx, w.config.Clock, w.historyGonePause)
+	}
+	w.historyGonePause = min(max(2*w.historyGonePause, minBackoff), maxBackoff)
+}
+
 func (w *Watcher) list(ctx context.Context) error {
 	requestedAt := w.config.Clock.Now()
 	documents, revision, err := w.config.Store.List(ctx, w.config.Kind)
--- a/internal/records/watcher/watcher_test.go
+++ b/internal/records/watcher/watcher_test.go
@@ -28,8 +28,10 @@
 	revision          int64
 	compactedRevision int64
 	down              bool
-	lists             int
-	watches           int
+	// answerDelay is how long an answer to a watch is on its way.
+	answerDelay time.Duration
+	lists       int
+	watches     int
 }
 
 func (s *store) List(context.Context, string) ([]replicator.Document, int64, error) {
@@ -44,6 +46,14 @@
 
 func (s *store) Watch(
 	ctx context.Context, _ string, after int64, wait time.Duration,
+) ([]replicator.Document, int64, error) {
+	documents, revision, err := s.watch(ctx, after, wait)
+	time.Sleep(s.answerDelay)
+	return documents, revision, err
+}
+
+func (s *store) watch(
+	ctx context.Context, after int64, wait time.Duration,
 ) ([]replicator.Document, int64, error) {
 	for until := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
 		s.mutex.Lock()
@@ -98,7 +108,7 @@
 		go w.Run(ctx)
 		scenario(s, r)
 		cancel()
-		time.Sleep(time.Second) // lets the goroutines end
+		time.Sleep(time.Minute) // lets the goroutines end
 	})
 }
 
@@ -168,3 +178,57 @@
 		is.Equal(lists+watches, 0)
 	})
 }
+
+// Guards against documents that count as confirmed when the answer of a watch is read, although it waited in the socket.
+func TestAnswerThatWaitedInSocketConfirmsWhenItWasMade(t *testing.T) {
+	for name, change := range map[string]bool{"without changes": false, "with a change": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			runWatcher(t, alwaysRead, func(s *store, r *replicator.Replicator) {
+				s.answerDelay = 4 * time.Second
+				time.Sleep(time.Second / 2)
+				startedAt := time.Now()
+				if change {
+					s.put("a")
+				}
+				time.Sleep(4 * time.Second)
+				s.put("b") // made while the first answer is on its way
+				time.Sleep(700 * time.Millisecond)
+				is.True(r.Position(kind).Revision < s.revision)
+				is.True(r.Position(kind).ConfirmedAt.Before(startedAt.Add(time.Second)))
+			})
+		})
+	}
+}
+
+// Guards against confirmations that grow old while changes come, so that other nodes start to read the store as well.
+func TestPositionIsConfirmedSoonAfterChanges(t *testing.T) {
+	is := is.New(t)
+	runWatcher(t, alwaysRead, func(s *store, r *replicator.Replicator) {
+		time.Sleep(100 * time.Millisecond)
+		for i := range 200 {
+			if i%13 == 0 {
+				s.put(string(rune('a' + i)))
+			}
+			time.Sleep(70 * time.Millisecond)
+			is.True(time.Since(r.Position(kind).ConfirmedAt) < 1500*time.Millisecond)
+		}
+	})
+}
+
+// Guards against list calls without a pause while the store drops its history again and again.
+func TestWatcherPausesWhileHistoryIsGone(t *testing.T) {
+	is := is.New(t)
+	runWatcher(t, alwaysRead, func(s *store, _ *replicator.Replicator) {
+		s.put("a")
+		time.Sleep(100 * time.Millisecond)
+		s.mutex.Lock()
+		s.compactedRevision = s.revision + 1000
+		s.mutex.Unlock()
+		s.put("b")
+		time.Sleep(10 * time.Second)
+		lists, watches := s.calls()
+		is.True(lists < 20)
+		is.True(watches < 20)
+	})
+}
