--- a/internal/records/watcher/watcher_test.go
+++ b/internal/records/watcher/watcher_test.go
@@ -57,7 +57,7 @@
 ) ([]replicator.Document, int64, error) {
 	for until := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
 		s.mutex.Lock()
-		if after == s.revision && !s.down && time.Now().Before(until) && ctx.Err() == nil {
+		if after == s.revision && after >= s.compactedRevision && !s.down && time.Now().Before(until) && ctx.Err() == nil {
 			s.mutex.Unlock()
 			continue
 		}
