Bound the time for which a node waits for documents that are known to exist

What callers saw: version 28 came to some nodes 6 s after the first node had it, although each of them could reach the store. Cause: a node read the store itself by the age of its last confirmation only, and nothing looked at changes that had been announced and did not arrive; outside of the eight ranked readers that took up to 25 s. Class: waiting without a bound for something that is known to exist.

Why this works: a notice leaves behind when a revision was first announced. The decision is records/elector.

--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -59,6 +59,8 @@
 		Matcher func() *matcher.Matcher
 		// ConfigCurrent reports whether the configuration in force is known to be the newest.
 		ConfigCurrent func() bool
+		// ConfigOutdated reports whether a newer configuration has been known for so long that it must be in force.
+		ConfigOutdated func() bool
 		// Draining reports whether this node is about to stop.
 		Draining func() bool
 		// Observe is called at the end of each request with its outcome, duration and result.
@@ -124,6 +126,11 @@
 		x.refuse("no_configuration", deferrer.NoConfiguration, gatherer.Result{})
 		return
 	}
+	if s.config.ConfigOutdated() {
+		x.version = m.Version()
+		x.refuse("configuration_outdated", deferrer.NoConfiguration, gatherer.Result{})
+		return
+	}
 	route := m.Match(r.Host, r.RequestURI)
 	if route == nil {
 		x.noRoute(m.Version())
--- a/internal/forward/server/server_test.go
+++ b/internal/forward/server/server_test.go
@@ -28,9 +28,11 @@
 	requests      []gatherer.Request
 	matcher       *matcher.Matcher
 	configCurrent bool
-	draining      bool
-	log           bytes.Buffer
-	server        *server.Server
+	// configOutdated is set if a newer configuration is overdue.
+	configOutdated bool
+	draining       bool
+	log            bytes.Buffer
+	server         *server.Server
 }
 
 func (f *fixture) Run(_ context.Context, r gatherer.Request) gatherer.Result {
@@ -54,7 +56,7 @@
 	})}
 	f.server = server.New(server.Config{
 		Gatherer: f, Matcher: func() *matcher.Matcher { return f.matcher },
-		ConfigCurrent: func() bool { return f.configCurrent },
+		ConfigCurrent: func() bool { return f.configCurrent }, ConfigOutdated: func() bool { return f.configOutdated },
 		HeaderNames: server.HeaderNames{
 			HeaderNames:    exchanger.HeaderNames{RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign"},
 			PartSignatures: "Signs", MissingParts: "Missing",
@@ -151,6 +153,7 @@
 		{"no configuration yet", "/one/x", func(f *fixture) { f.matcher = nil }, 503, true, ""},
 		{"no route", "/none/x", func(*fixture) {}, 404, false, ""},
 		{"no route, but a newer version may have it", "/none/x", func(f *fixture) { f.configCurrent = false }, 503, true, ""},
+		{"a newer version is overdue", "/one/x", func(f *fixture) { f.configOutdated = true }, 503, true, ""},
 		{"not run", "/one/x", func(f *fixture) { f.result.Outcome = gatherer.OutcomeNotRun }, 503, true, ""},
 		{"timeout", "/one/x", func(f *fixture) { f.result.Outcome = gatherer.OutcomeTimeout }, 504, false, ""},
 		{"failed", "/one/x", func(f *fixture) { f.result.Outcome = gatherer.OutcomeFailed }, 502, false, ""},
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/forward/server"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
+	"github.com/magnoliastep/magnoliastep/internal/records/elector"
 	"github.com/magnoliastep/magnoliastep/internal/records/gossiper"
 	"github.com/magnoliastep/magnoliastep/internal/records/patcher"
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
@@ -124,6 +125,7 @@
 		replicator *replicator.Replicator
 		watchers   []*watcher.Watcher
 		patcher    *patcher.Patcher
+		elector    *elector.Elector
 		gossiper   *gossiper.Gossiper
 		messenger  *messenger.Messenger
 		prober     *prober.Prober
@@ -133,8 +135,6 @@
 		server     *server.Server
 		selector   *selector.Selector
 		mutex      sync.Mutex
-		// fallbackReaderJitter is this node's random delay, below maxFallbackReaderJitter.
-		fallbackReaderJitter time.Duration
 		// evacuatedZones is the set of zones that are out of service.
 		evacuatedZones map[string]bool
 		// helpers is the number of further serving nodes that this node asks for.
@@ -148,13 +148,16 @@
 func New(c Config) *Node {
 	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}}
 	n.settings.Store(&c.ReloadableSettings)
-	n.fallbackReaderJitter = rand.N(maxFallbackReaderJitter) //nolint:gosec // spreads load only
+	n.elector = elector.New(elector.Config{
+		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
+		FallbackJitter: rand.N(maxFallbackReaderJitter), //nolint:gosec // spreads load only
+	})
 	n.assembleFleet()
 	n.assembleLeaves()
 	n.assembleRecords()
 	n.server = server.New(server.Config{
 		Gatherer: n.gatherer, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load, ConfigCurrent: n.configurationCurrent,
-		Draining: n.stopping.Load, Observe: n.observeRequest, Logger: c.Logger, Random: rand.Float64,
+		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest, Logger: c.Logger, Random: rand.Float64,
 	})
 	n.selector = selector.New(selector.Config{
 		View: n.prober, Leaves: n.leafSummary, KeepFor: directoryTTL(c.DirectoryTime),
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -10,13 +10,13 @@
 	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
 	"github.com/magnoliastep/magnoliastep/internal/forward/sanitizer"
+	"github.com/magnoliastep/magnoliastep/internal/records/elector"
 	"github.com/magnoliastep/magnoliastep/internal/records/gossiper"
 	"github.com/magnoliastep/magnoliastep/internal/records/patcher"
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
 	"github.com/magnoliastep/magnoliastep/internal/view/linker"
-	"github.com/magnoliastep/magnoliastep/internal/view/ranker"
 )
 
 const (
@@ -29,16 +29,7 @@
 	discoveryPeriod = 2 * time.Second
 	// registerDelay is the time before each attempt to register this node in the store. The view is complete by the first.
 	registerDelay = 3 * time.Second
-	// readerTakeoverAge is how old the last confirmation of this node's documents may be, beyond the wait of a watch,
-	// before this node reads the store itself.
-	readerTakeoverAge = 600 * time.Millisecond
-	// readerTakeoverStep is added to that age for each node that ranks before this one as reader.
-	readerTakeoverStep = 150 * time.Millisecond
-	// rankedReaders is how many nodes take over reading in order of rank. The others read only when none of these seems
-	// able to read the store, after fallbackReaderAge and a random delay of up to maxFallbackReaderJitter: an outage must
-	// not make all nodes call the store.
-	rankedReaders           = 8
-	fallbackReaderAge       = 4 * time.Second
+	// maxFallbackReaderJitter bounds the random delay after which nodes that do not rank as readers read the store.
 	maxFallbackReaderJitter = 20 * time.Second
 	// seedWait is how long a starting node that is not a seed waits for the documents of the seeds before it reads the
 	// store itself.
@@ -54,9 +45,6 @@
 	maxConfigurationAgeShare = 0.8
 )
 
-// readerRankingKey is the prefix of the keys by which nodes are ranked as readers of a kind from the store.
-const readerRankingKey = "store-reader/"
-
 // nodeRecord is the document with which a node registers itself in the store.
 type nodeRecord struct {
 	PeerAddress string `json:"peer_address"`
@@ -86,9 +74,7 @@
 	}
 }
 
-// shouldReadStore reports whether this node should read a kind from the store now. One node, which all nodes with the
-// same view agree on, reads on behalf of all. The nodes that rank after it take over when their documents have not been
-// confirmed for too long.
+// shouldReadStore reports whether this node should read a kind from the store now.
 func (n *Node) shouldReadStore(kind string, wait time.Duration) bool {
 	position := n.replicator.Position(kind)
 	if position.Revision == 0 {
@@ -98,13 +84,19 @@
 		}
 		return n.isSeed() || n.config.Clock.Since(n.startedAt) > delay
 	}
-	age := n.config.Clock.Since(position.ConfirmedAt)
-	for i, m := range n.currentFleet().ranker.Leading(ranker.Key{Name: readerRankingKey + kind}, rankedReaders) {
-		if m.GetName() == n.config.NodeName {
-			return i == 0 || age > wait+readerTakeoverAge+time.Duration(i)*readerTakeoverStep
-		}
+	return n.elector.ShouldRead(elector.Situation{
+		Kind: kind, Ranker: n.currentFleet().ranker, ConfirmedAgo: n.config.Clock.Since(position.ConfirmedAt),
+		BehindFor: n.behindFor(kind), Wait: wait, ChangeTime: n.settings.Load().ConfigurationTime,
+	})
+}
+
+// behindFor returns how long this node has known of documents of a kind that it has not got; 0 if it knows of none.
+func (n *Node) behindFor(kind string) time.Duration {
+	since, behind := n.gossiper.BehindSince(kind)
+	if !behind {
+		return 0
 	}
-	return age > wait+fallbackReaderAge+n.fallbackReaderJitter
+	return n.config.Clock.Since(since)
 }
 
 func (n *Node) isSeed() bool {
@@ -289,8 +281,19 @@
 }
 
 // configurationCurrent reports whether the configuration in force was confirmed so recently that no newer one can be
-// due yet.
+// due yet, and no newer one is known.
 func (n *Node) configurationCurrent() bool {
-	age := n.config.Clock.Since(n.replicator.Position(n.config.Kinds.Configuration).ConfirmedAt)
-	return age < time.Duration(maxConfigurationAgeShare*float64(n.settings.Load().ConfigurationTime))
+	kind := n.config.Kinds.Configuration
+	age := n.config.Clock.Since(n.replicator.Position(kind).ConfirmedAt)
+	return age < n.maxConfigurationAge() && n.behindFor(kind) == 0
+}
+
+// configurationOutdated reports whether a newer configuration than the one in force has been known for so long that it is
+// due.
+func (n *Node) configurationOutdated() bool {
+	return n.behindFor(n.config.Kinds.Configuration) > n.maxConfigurationAge()
+}
+
+func (n *Node) maxConfigurationAge() time.Duration {
+	return time.Duration(maxConfigurationAgeShare * float64(n.settings.Load().ConfigurationTime))
 }
--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -39,6 +39,8 @@
 	// pulls would not help nodes whose links are congested.
 	minPartTimeout = 150 * time.Millisecond
 	maxPartTimeout = 1200 * time.Millisecond
+	// maxAnnounced bounds the announced revisions that are kept of a kind.
+	maxAnnounced = 64
 )
 
 type (
@@ -191,7 +193,11 @@
 		if len(announced) > 0 {
 			newest = announced[len(announced)-1].revision
 		}
-		if p.GetRevision() > newest {
+		switch {
+		case p.GetRevision() <= newest:
+		case len(announced) == maxAnnounced:
+			announced[maxAnnounced-1].revision = p.GetRevision()
+		default:
 			announced = append(announced, announcedRevision{p.GetRevision(), n.receivedAt})
 		}
 		g.announced[p.GetKind()] = announced
--- a/internal/records/gossiper/slow_links_test.go
+++ b/internal/records/gossiper/slow_links_test.go
@@ -179,3 +179,37 @@
 		time.Sleep(2 * time.Second) // lets the goroutines end
 	})
 }
+
+// Guards against a node that does not know that it is behind when it can't get what others announce.
+func TestNodeKnowsSinceWhenItIsBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 2)
+		f.applyFromStore(7)
+		time.Sleep(time.Second)
+		follower := f.gossiper["node-1"]
+		_, behind := follower.BehindSince(kind)
+		is.True(!behind)
+		f.isolated.Store("node-0", true)
+		announcedAt := time.Now()
+		for revision := int64(8); revision < 200; revision++ {
+			follower.HandleNotice(ctx, &pb.DocumentNotice{
+				PeerAddress: "node-0", Positions: []*pb.DocumentPosition{{Kind: kind, Revision: revision}},
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+		since, behind := follower.BehindSince(kind)
+		is.True(behind)
+		is.Equal(since, announcedAt)
+		f.replica["node-1"].ApplyList(kind, nil, 9, time.Now())
+		since, behind = follower.BehindSince(kind)
+		is.True(behind)
+		is.Equal(since, announcedAt.Add(100*time.Millisecond)) // revision 10
+		f.replica["node-1"].ApplyList(kind, nil, 199, time.Now())
+		_, behind = follower.BehindSince(kind)
+		is.True(!behind)
+		cancel()
+		time.Sleep(time.Minute) // lets the goroutines end
+	})
+}
