Make no pull from a node while one from it is under way

A starting node pulled from each seed every 300 ms, also while earlier pulls were still answered: with a large configuration and slow links a start congested the links of the seeds in the way of the incident. Found by looking for its cause elsewhere; suspected, not seen.

--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -106,6 +106,8 @@
 		pendingNotices map[string]notice
 		// pulling is set while a goroutine works through pendingNotices.
 		pulling bool
+		// pullsUnderWay has the peer addresses of the nodes from which a pull is under way.
+		pullsUnderWay map[string]bool
 		// announced has, by kind, the revisions above this node's that notices have announced, in ascending order.
 		announced map[string][]announcedRevision
 		// partial is the answer of which a pull was interrupted; nil without one.
@@ -131,7 +133,7 @@
 func New(c Config) *Gossiper {
 	return &Gossiper{
 		config: c, announcements: make(chan struct{}, 1), chunker: chunker.New(), pendingNotices: map[string]notice{},
-		announced: map[string][]announcedRevision{}, partTimeout: minPartTimeout,
+		pullsUnderWay: map[string]bool{}, announced: map[string][]announcedRevision{}, partTimeout: minPartTimeout,
 	}
 }
 
--- a/internal/records/gossiper/gossiper_test.go
+++ b/internal/records/gossiper/gossiper_test.go
@@ -39,6 +39,8 @@
 	unresponsive sync.Map
 	// pulledDocuments counts the documents in all answers to pulls.
 	pulledDocuments atomic.Int64
+	// pulls counts the pulls that were answered.
+	pulls atomic.Int64
 	// links delay each frame by its size; nil for links of no limit.
 	links *slowLinks
 }
@@ -72,6 +74,7 @@
 	go func() {
 		m.fleet.transmit(m.from, to, f)
 		answer := m.fleet.gossiper[to].HandlePull(f.GetDocumentPull())
+		m.fleet.pulls.Add(1)
 		m.fleet.pulledDocuments.Add(int64(len(answer.GetDocuments())))
 		reply := &pb.Frame{From: to, Body: &pb.Frame_Documents{Documents: answer}}
 		m.fleet.transmit(to, m.from, reply)
--- a/internal/records/gossiper/pull.go
+++ b/internal/records/gossiper/pull.go
@@ -36,8 +36,13 @@
 	}
 }
 
-// Pull asks one node for the documents that this node lacks, one part after the other, and applies them.
+// Pull asks one node for the documents that this node lacks, one part after the other, and applies them. It does nothing
+// if a pull from that node is under way.
 func (g *Gossiper) Pull(ctx context.Context, address string) error {
+	if !g.startPull(address) {
+		return nil
+	}
+	defer g.endPull(address)
 	partial := g.takePartial()
 	transfer := Transfer{}
 	startedAt := g.config.Clock.Now()
@@ -68,6 +73,22 @@
 	}
 }
 
+func (g *Gossiper) startPull(address string) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.pullsUnderWay[address] {
+		return false
+	}
+	g.pullsUnderWay[address] = true
+	return true
+}
+
+func (g *Gossiper) endPull(address string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	delete(g.pullsUnderWay, address)
+}
+
 // pullPart pulls the next part of an answer.
 func (g *Gossiper) pullPart(ctx context.Context, address string, p *partialAnswer) (*pb.Frame, error) {
 	g.mutex.Lock()
--- a/internal/records/gossiper/slow_links_test.go
+++ b/internal/records/gossiper/slow_links_test.go
@@ -213,3 +213,28 @@
 		time.Sleep(time.Minute) // lets the goroutines end
 	})
 }
+
+// Guards against a starting node that asks a slow seed for all documents again while the seed is still answering.
+func TestPullUnderWayIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 20)
+		f.links = &slowLinks{links: map[string]*slowLink{}}
+		f.isolated.Store("node-19", true)                        // gets no notices
+		c := newConfiguration(6000, rand.New(rand.NewPCG(1, 2))) //nolint:gosec // a test needs no secret numbers
+		f.replica["node-0"].ApplyList(kind, []replicator.Document{c.document(1)}, 1, time.Now())
+		f.isolated.Delete("node-19")
+		answered := f.pulls.Load()
+		for range 50 {
+			go func() { _ = f.gossiper["node-19"].Pull(ctx, "node-0") }()
+		}
+		time.Sleep(400 * time.Millisecond)
+		is.Equal(f.replica["node-19"].Position(kind).Revision, int64(1))
+		parts := f.pulls.Load() - answered
+		t.Logf("%d parts", parts)
+		is.True(parts < 50)
+		cancel()
+		time.Sleep(time.Hour) // lets the goroutines and all frames under way end
+	})
+}
