--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/quartz"
 
+	"github.com/magnoliastep/magnoliastep/internal/clock/timekeeper"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/selector"
 	"github.com/magnoliastep/magnoliastep/internal/logging/writer"
 	"github.com/magnoliastep/magnoliastep/internal/node/forwarder"
@@ -127,6 +128,6 @@
 			return platform.DirectoryHandler(n, ready)
 		},
 		ReadinessHandler: platform.ReadinessHandler,
-		Clock:            quartz.NewReal(), Logger: logger, Metrics: set,
+		Clock:            timekeeper.New(timekeeper.Config{Clock: quartz.NewReal()}), Logger: logger, Metrics: set,
 	}
 }
