--- a/internal/clock/timekeeper/timekeeper.go
+++ b/internal/clock/timekeeper/timekeeper.go
@@ -1,5 +1,6 @@
-// Package timekeeper is a clock that also counts the time for which the VM was suspended. The monotonic clock, from which
-// Go measures durations, stands still meanwhile; what was confirmed before a suspension would still seem fresh after it.
+// Package timekeeper is a clock that also counts the time for which the VM was suspended. The monotonic clock, from
+// which Go measures durations, stands still meanwhile; what was confirmed before a suspension would still seem fresh
+// after it.
 package timekeeper
 
 import (
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -157,7 +157,8 @@
 	n.assembleRecords()
 	n.server = server.New(server.Config{
 		Gatherer: n.gatherer, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load, ConfigCurrent: n.configurationCurrent,
-		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest, Logger: c.Logger, Random: rand.Float64,
+		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest, Logger: c.Logger,
+		Random: rand.Float64,
 	})
 	n.selector = selector.New(selector.Config{
 		View: n.prober, Leaves: n.leafSummary, KeepFor: directoryTTL(c.DirectoryTime),
--- a/internal/node/forwarder/metrics.go
+++ b/internal/node/forwarder/metrics.go
@@ -57,8 +57,9 @@
 	m := n.config.Metrics
 	m.GetOrCreateHistogram(`stepfront_document_pull_seconds`).Update(t.Took.Seconds())
 	m.GetOrCreateCounter(`stepfront_document_pulled_bytes_total`).Add(t.Bytes)
+	superseded := m.GetOrCreateCounter(`stepfront_document_pulls_superseded_total`)
 	if t.Superseded {
-		m.GetOrCreateCounter(`stepfront_document_pulls_superseded_total`).Inc()
+		superseded.Inc()
 	}
 }
 
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -288,8 +288,8 @@
 	return age < n.maxConfigurationAge() && n.behindFor(kind) == 0
 }
 
-// configurationOutdated reports whether a newer configuration than the one in force has been known for so long that it is
-// due.
+// configurationOutdated reports whether a newer configuration than the one in force has been known for so long that it
+// is due.
 func (n *Node) configurationOutdated() bool {
 	return n.behindFor(n.config.Kinds.Configuration) > n.maxConfigurationAge()
 }
--- a/internal/records/chunker/chunker.go
+++ b/internal/records/chunker/chunker.go
@@ -56,8 +56,8 @@
 	return t.part(offset)
 }
 
-// Cut returns an answer as it is if it is small, or else the part of it from the offset on if the receiver has the bytes
-// before of this very answer, or else its first part.
+// Cut returns an answer as it is if it is small. Otherwise it returns the part from the offset on, if the receiver has
+// the bytes before the offset of this very answer, or else the first part.
 func (c *Chunker) Cut(answer *pb.Documents, id, offset uint64) (*pb.Documents, error) {
 	plain, err := proto.MarshalOptions{Deterministic: true}.Marshal(answer)
 	if err != nil {
--- a/internal/records/elector/elector.go
+++ b/internal/records/elector/elector.go
@@ -1,6 +1,6 @@
-// Package elector decides whether a node reads a kind of documents from the store. One node, which all nodes with the same
-// view agree on, reads on behalf of all. Others take over when their documents have not been confirmed for too long, or
-// when documents that are known to exist do not arrive.
+// Package elector decides whether a node reads a kind of documents from the store. One node, which all nodes with the
+// same view agree on, reads on behalf of all. Others take over when their documents have not been confirmed for too
+// long, or when documents that are known to exist do not arrive.
 //
 // It answers three loads: many nodes that would all call the store, a reader that is lost, and nodes that neither the
 // reader nor any node that ranks near it can reach, such as those of a zone that is cut off.
--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -190,7 +190,8 @@
 	for _, p := range n.GetPositions() {
 		known := g.config.Replica.Position(p.GetKind()).Revision
 		g.mutex.Lock()
-		announced := slices.DeleteFunc(g.announced[p.GetKind()], func(a announcedRevision) bool { return a.revision <= known })
+		reached := func(a announcedRevision) bool { return a.revision <= known }
+		announced := slices.DeleteFunc(g.announced[p.GetKind()], reached)
 		newest := known
 		if len(announced) > 0 {
 			newest = announced[len(announced)-1].revision
--- a/internal/records/gossiper/pull.go
+++ b/internal/records/gossiper/pull.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// Pull asks one node for the documents that this node lacks, one part after the other, and applies them. It does nothing
-// if a pull from that node is under way.
+// Pull asks one node for the documents that this node lacks, one part after the other, and applies them. It does
+// nothing if a pull from that node is under way.
 func (g *Gossiper) Pull(ctx context.Context, address string) error {
 	if !g.startPull(address) {
 		return nil
--- a/internal/records/watcher/watcher.go
+++ b/internal/records/watcher/watcher.go
@@ -138,8 +138,8 @@
 }
 
 // confirmationTime returns when the store answered a watch at the earliest. The answer may have waited in a socket for
-// any time before it was read. The store makes an answer without changes when the wait is over; one with changes may have
-// been made as soon as the watch was requested.
+// any time before it was read. The store makes an answer without changes when the wait is over; one with changes may
+// have been made as soon as the watch was requested.
 func confirmationTime(requestedAt, readAt time.Time, wait time.Duration, changes bool) time.Time {
 	waitedUntil := requestedAt.Add(wait)
 	if changes || readAt.Before(waitedUntil) {
