Derive the time limit of a pull from the last part; bytes of a pull are those of its frames

With a fixed lower limit each success would have set the limit back below what a congested link needs, so that every second pull was in vain. replicator.Confirm is gone, because only tests called it since notices confirm nothing; they apply an empty change instead, which confirms in the same way.

--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -35,10 +35,12 @@
 	minForwardAdvance = 300 * time.Millisecond
 	// noticeTimeout bounds the sending of one notice.
 	noticeTimeout = 800 * time.Millisecond
-	// minPartTimeout bounds the pull of one part. It doubles with each pull that runs into it, up to maxPartTimeout: more
-	// pulls would not help nodes whose links are congested.
-	minPartTimeout = 150 * time.Millisecond
-	maxPartTimeout = 1200 * time.Millisecond
+	// minPartTimeout and maxPartTimeout limit the time limit of the pull of one part. That is partTimeoutFactor times what
+	// the last part took, and doubles with each pull that runs into it: more pulls would not help nodes whose links are
+	// congested.
+	minPartTimeout    = 150 * time.Millisecond
+	maxPartTimeout    = 1200 * time.Millisecond
+	partTimeoutFactor = 4
 	// maxAnnounced bounds the announced revisions that are kept of a kind.
 	maxAnnounced = 64
 )
@@ -55,7 +57,6 @@
 		ApplyList(kind string, documents []replicator.Document, revision int64, confirmedAt time.Time)
 		ApplyChanges(kind string, after int64, documents []replicator.Document, revision int64, confirmedAt time.Time) bool
 		Position(kind string) replicator.Position
-		Confirm(kind string, revision int64, at time.Time)
 		ChangesSince(kind string, after int64) ([]replicator.Document, replicator.Position, bool)
 	}
 
@@ -88,7 +89,8 @@
 	Transfer struct {
 		From      string
 		Documents int
-		Bytes     int
+		// Bytes is the size of the frames that carried the answer.
+		Bytes int
 		// Took is the time from the pull to the end of the answer.
 		Took time.Duration
 		// Superseded is set if this node had learned the documents from elsewhere in the meantime.
@@ -112,7 +114,7 @@
 		announced map[string][]announcedRevision
 		// partial is the answer of which a pull was interrupted; nil without one.
 		partial *partialAnswer
-		// partTimeout is the current bound of a pull, minPartTimeout to maxPartTimeout.
+		// partTimeout is the time limit of the next pull, minPartTimeout to maxPartTimeout.
 		partTimeout time.Duration
 	}
 
--- a/internal/records/gossiper/gossiper_test.go
+++ b/internal/records/gossiper/gossiper_test.go
@@ -162,7 +162,7 @@
 				time.Sleep(within)
 				is.Equal(f.countNodesAt(7), nodes)
 				confirmedAt := time.Now()
-				f.replica["node-0"].Confirm(kind, 7, confirmedAt.Add(time.Second))
+				f.replica["node-0"].ApplyChanges(kind, 7, nil, 7, confirmedAt.Add(time.Second))
 				f.gossiper["node-0"].Announce()
 				time.Sleep(time.Second)
 				for _, r := range f.replica {
--- a/internal/records/gossiper/pull.go
+++ b/internal/records/gossiper/pull.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/records/joiner"
@@ -57,7 +59,7 @@
 		if err != nil {
 			return err
 		}
-		transfer.Bytes += len(reply.GetDocuments().GetPart())
+		transfer.Bytes += proto.Size(reply)
 		if !complete {
 			continue
 		}
@@ -98,13 +100,14 @@
 	defer cancel()
 	pull := &pb.DocumentPull{Positions: p.pull.GetPositions(), Held: p.pull.GetHeld(), Parts: true}
 	pull.Transfer, pull.Offset = p.joiner.Next()
+	requestedAt := g.config.Clock.Now()
 	reply, err := g.config.Messenger.Call(callContext, address, messenger.PlaneControl,
 		&pb.Frame{Body: &pb.Frame_DocumentPull{DocumentPull: pull}})
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	switch {
 	case err == nil:
-		g.partTimeout = minPartTimeout
+		g.partTimeout = min(max(partTimeoutFactor*g.config.Clock.Since(requestedAt), minPartTimeout), maxPartTimeout)
 	case callContext.Err() != nil:
 		g.partTimeout = min(2*timeout, maxPartTimeout)
 	}
@@ -248,11 +251,6 @@
 	if t.Documents == 0 {
 		return
 	}
-	if t.Bytes == 0 {
-		for _, d := range m.GetDocuments() {
-			t.Bytes += len(d.GetData())
-		}
-	}
 	t.Superseded = !g.isBehind(m.GetPositions())
 	g.config.OnDocuments(t)
 }
--- a/internal/records/gossiper/slow_links_test.go
+++ b/internal/records/gossiper/slow_links_test.go
@@ -174,7 +174,7 @@
 		time.Sleep(time.Second)
 		reader, follower := f.gossiper["node-0"], f.gossiper["node-1"]
 		confirmedAt := time.Now()
-		f.replica["node-0"].Confirm(kind, 7, confirmedAt)
+		f.replica["node-0"].ApplyChanges(kind, 7, nil, 7, confirmedAt)
 		delayed := &pb.DocumentNotice{PeerAddress: "node-0", Positions: reader.HandlePull(&pb.DocumentPull{
 			Positions: []*pb.DocumentPosition{{Kind: kind}},
 		}).GetPositions()}
--- a/internal/records/replicator/replicator.go
+++ b/internal/records/replicator/replicator.go
@@ -119,16 +119,6 @@
 	return r.kind(name).position
 }
 
-// Confirm records that a revision of a kind was still the newest one at a time.
-func (r *Replicator) Confirm(name string, revision int64, at time.Time) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	k := r.kind(name)
-	if k.position.Revision >= revision && at.After(k.position.ConfirmedAt) {
-		k.position.ConfirmedAt = at
-	}
-}
-
 // ChangesSince returns the documents of a kind that are newer than a revision, with tombstones. If tombstones since
 // that revision may have been dropped, it returns all documents that exist instead and sets whole.
 func (r *Replicator) ChangesSince(name string, after int64) (documents []Document, position Position, whole bool) {
