Keep the time limit of a pull by node; compress an answer once

A limit belongs to the node that was slow. 100 runs of the test pass. Children that ask for the same large answer at the same moment no longer compress it once each.

--- a/internal/records/chunker/chunker.go
+++ b/internal/records/chunker/chunker.go
@@ -28,7 +28,9 @@
 type (
 	// Chunker holds the latest large answers. It is safe for concurrent use.
 	Chunker struct {
-		mutex sync.Mutex
+		// compressing is held while an answer is compressed, so that pulls of the same answer compress it once.
+		compressing sync.Mutex
+		mutex       sync.Mutex
 		// transfers are in the order of their last use, at most maxTransfers.
 		transfers []transfer
 	}
@@ -66,15 +68,9 @@
 	if len(plain) <= maxPlainBytes {
 		return answer, nil
 	}
-	content := xxhash.Sum64(plain)
-	t, found := c.find(func(t transfer) bool { return t.content == content })
-	if !found {
-		compressed, err := compress(plain)
-		if err != nil {
-			return nil, err
-		}
-		t = transfer{id: xxhash.Sum64(compressed), content: content, compressed: compressed}
-		c.keep(t)
+	t, err := c.transferOf(plain)
+	if err != nil {
+		return nil, err
 	}
 	if t.id != id || offset >= uint64(len(t.compressed)) {
 		offset = 0
@@ -82,6 +78,23 @@
 	return t.part(offset), nil
 }
 
+// transferOf returns the transfer of an answer, which it compresses if it is not kept.
+func (c *Chunker) transferOf(plain []byte) (transfer, error) {
+	c.compressing.Lock()
+	defer c.compressing.Unlock()
+	content := xxhash.Sum64(plain)
+	if t, found := c.find(func(t transfer) bool { return t.content == content }); found {
+		return t, nil
+	}
+	compressed, err := compress(plain)
+	if err != nil {
+		return transfer{}, err
+	}
+	t := transfer{id: xxhash.Sum64(compressed), content: content, compressed: compressed}
+	c.keep(t)
+	return t, nil
+}
+
 // find returns the first transfer with a property and marks it as used.
 func (c *Chunker) find(matches func(transfer) bool) (transfer, bool) {
 	c.mutex.Lock()
--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -35,12 +35,14 @@
 	minForwardAdvance = 300 * time.Millisecond
 	// noticeTimeout bounds the sending of one notice.
 	noticeTimeout = 800 * time.Millisecond
-	// minPartTimeout and maxPartTimeout limit the time limit of the pull of one part. That is partTimeoutFactor times what
-	// the last part took, and doubles with each pull that runs into it: more pulls would not help nodes whose links are
-	// congested.
-	minPartTimeout    = 150 * time.Millisecond
+	// The time limit of the pull of one part from a node is partTimeoutFactor times what the last part took, between
+	// minPartTimeout and maxPartTimeout. It doubles with each pull that runs into it: more pulls would not help nodes
+	// whose links are congested.
+	minPartTimeout    = 100 * time.Millisecond
 	maxPartTimeout    = 1200 * time.Millisecond
 	partTimeoutFactor = 4
+	// maxPartTimeouts bounds the number of time limits that are kept.
+	maxPartTimeouts = 64
 	// maxAnnounced bounds the announced revisions that are kept of a kind.
 	maxAnnounced = 64
 )
@@ -114,8 +116,8 @@
 		announced map[string][]announcedRevision
 		// partial is the answer of which a pull was interrupted; nil without one.
 		partial *partialAnswer
-		// partTimeout is the time limit of the next pull, minPartTimeout to maxPartTimeout.
-		partTimeout time.Duration
+		// partTimeouts has, by peer address, the time limits of pulls that are above minPartTimeout.
+		partTimeouts map[string]time.Duration
 	}
 
 	// notice is a received notice.
@@ -135,7 +137,8 @@
 func New(c Config) *Gossiper {
 	return &Gossiper{
 		config: c, announcements: make(chan struct{}, 1), chunker: chunker.New(), pendingNotices: map[string]notice{},
-		pullsUnderWay: map[string]bool{}, announced: map[string][]announcedRevision{}, partTimeout: minPartTimeout,
+		pullsUnderWay: map[string]bool{}, announced: map[string][]announcedRevision{},
+		partTimeouts: map[string]time.Duration{},
 	}
 }
 
--- a/internal/records/gossiper/pull.go
+++ b/internal/records/gossiper/pull.go
@@ -93,9 +93,7 @@
 
 // pullPart pulls the next part of an answer.
 func (g *Gossiper) pullPart(ctx context.Context, address string, p *partialAnswer) (*pb.Frame, error) {
-	g.mutex.Lock()
-	timeout := g.partTimeout
-	g.mutex.Unlock()
+	timeout := g.partTimeout(address)
 	callContext, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	pull := &pb.DocumentPull{Positions: p.pull.GetPositions(), Held: p.pull.GetHeld(), Parts: true}
@@ -103,17 +101,34 @@
 	requestedAt := g.config.Clock.Now()
 	reply, err := g.config.Messenger.Call(callContext, address, messenger.PlaneControl,
 		&pb.Frame{Body: &pb.Frame_DocumentPull{DocumentPull: pull}})
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	switch {
 	case err == nil:
-		g.partTimeout = min(max(partTimeoutFactor*g.config.Clock.Since(requestedAt), minPartTimeout), maxPartTimeout)
+		g.setPartTimeout(address, partTimeoutFactor*g.config.Clock.Since(requestedAt))
 	case callContext.Err() != nil:
-		g.partTimeout = min(2*timeout, maxPartTimeout)
+		g.setPartTimeout(address, 2*timeout)
 	}
 	return reply, err
 }
 
+func (g *Gossiper) partTimeout(address string) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return max(g.partTimeouts[address], minPartTimeout)
+}
+
+func (g *Gossiper) setPartTimeout(address string, timeout time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if timeout <= minPartTimeout {
+		delete(g.partTimeouts, address)
+		return
+	}
+	if len(g.partTimeouts) >= maxPartTimeouts {
+		clear(g.partTimeouts)
+	}
+	g.partTimeouts[address] = min(timeout, maxPartTimeout)
+}
+
 // takePartial returns the interrupted answer if this node's documents are still those of its pull, or else a new one.
 func (g *Gossiper) takePartial() *partialAnswer {
 	pull := &pb.DocumentPull{Positions: g.positions(), Held: g.config.Patcher.Held()}
