--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -43,8 +42,6 @@
 	partTimeoutFactor = 4
 	// maxPartTimeouts bounds the number of time limits that are kept.
 	maxPartTimeouts = 64
-	// maxAnnounced bounds the announced revisions that are kept of a kind.
-	maxAnnounced = 64
 )
 
 type (
@@ -112,8 +109,8 @@
 		pulling bool
 		// pullsUnderWay has the peer addresses of the nodes from which a pull is under way.
 		pullsUnderWay map[string]bool
-		// announced has, by kind, the revisions above this node's that notices have announced, in ascending order.
-		announced map[string][]announcedRevision
+		// announced has, by kind, the revisions above this node's that notices have announced.
+		announced map[string]announcedRevisions
 		// partial is the answer of which a pull was interrupted; nil without one.
 		partial *partialAnswer
 		// partTimeouts has, by peer address, the time limits of pulls that are above minPartTimeout.
@@ -125,19 +122,13 @@
 		*pb.DocumentNotice
 		receivedAt time.Time
 	}
-
-	// announcedRevision is a revision and when a notice first announced it.
-	announcedRevision struct {
-		revision int64
-		at       time.Time
-	}
 )
 
 // New returns a Gossiper.
 func New(c Config) *Gossiper {
 	return &Gossiper{
 		config: c, announcements: make(chan struct{}, 1), chunker: chunker.New(), pendingNotices: map[string]notice{},
-		pullsUnderWay: map[string]bool{}, announced: map[string][]announcedRevision{},
+		pullsUnderWay: map[string]bool{}, announced: map[string]announcedRevisions{},
 		partTimeouts: map[string]time.Duration{},
 	}
 }
@@ -176,43 +167,6 @@
 	}
 }
 
-// BehindSince returns when this node first learned of a revision of a kind that it still has not got. behind is false
-// if it knows of none.
-func (g *Gossiper) BehindSince(kind string) (since time.Time, behind bool) {
-	revision := g.config.Replica.Position(kind).Revision
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	for _, a := range g.announced[kind] {
-		if a.revision > revision {
-			return a.at, true
-		}
-	}
-	return time.Time{}, false
-}
-
-// recordAnnounced keeps the revisions of a notice that are above this node's, and drops those that it has reached.
-func (g *Gossiper) recordAnnounced(n notice) {
-	for _, p := range n.GetPositions() {
-		known := g.config.Replica.Position(p.GetKind()).Revision
-		g.mutex.Lock()
-		reached := func(a announcedRevision) bool { return a.revision <= known }
-		announced := slices.DeleteFunc(g.announced[p.GetKind()], reached)
-		newest := known
-		if len(announced) > 0 {
-			newest = announced[len(announced)-1].revision
-		}
-		switch {
-		case p.GetRevision() <= newest:
-		case len(announced) == maxAnnounced:
-			announced[maxAnnounced-1].revision = p.GetRevision()
-		default:
-			announced = append(announced, announcedRevision{p.GetRevision(), n.receivedAt})
-		}
-		g.announced[p.GetKind()] = announced
-		g.mutex.Unlock()
-	}
-}
-
 // isWorthPulling reports whether the sender of a notice has a newer revision of any kind, or a confirmation of this
 // node's revision that seems newer by more than minForwardAdvance.
 func (g *Gossiper) isWorthPulling(n notice) bool {
--- a/internal/records/gossiper/pull.go
+++ b/internal/records/gossiper/pull.go
@@ -75,22 +75,6 @@
 	}
 }
 
-func (g *Gossiper) startPull(address string) bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if g.pullsUnderWay[address] {
-		return false
-	}
-	g.pullsUnderWay[address] = true
-	return true
-}
-
-func (g *Gossiper) endPull(address string) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	delete(g.pullsUnderWay, address)
-}
-
 // pullPart pulls the next part of an answer.
 func (g *Gossiper) pullPart(ctx context.Context, address string, p *partialAnswer) (*pb.Frame, error) {
 	timeout := g.partTimeout(address)
@@ -110,25 +94,6 @@
 	return reply, err
 }
 
-func (g *Gossiper) partTimeout(address string) time.Duration {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return max(g.partTimeouts[address], minPartTimeout)
-}
-
-func (g *Gossiper) setPartTimeout(address string, timeout time.Duration) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if timeout <= minPartTimeout {
-		delete(g.partTimeouts, address)
-		return
-	}
-	if len(g.partTimeouts) >= maxPartTimeouts {
-		clear(g.partTimeouts)
-	}
-	g.partTimeouts[address] = min(timeout, maxPartTimeout)
-}
-
 // takePartial returns the interrupted answer if this node's documents are still those of its pull, or else a new one.
 func (g *Gossiper) takePartial() *partialAnswer {
 	pull := &pb.DocumentPull{Positions: g.positions(), Held: g.config.Patcher.Held()}
@@ -151,71 +116,6 @@
 	g.partial = p
 }
 
-// HandlePull answers another node's pull with the documents that it lacks, or a part of them.
-func (g *Gossiper) HandlePull(m *pb.DocumentPull) *pb.Documents {
-	if m.GetTransfer() != 0 {
-		if part := g.chunker.Continue(m.GetTransfer(), m.GetOffset()); part != nil {
-			part.Positions = g.positions()
-			return part
-		}
-	}
-	answer := g.collectDocuments(m)
-	if !m.GetParts() {
-		answer.Positions = g.positionsOf(answer.GetPositions())
-		return answer
-	}
-	reply, err := g.chunker.Cut(answer, m.GetTransfer(), m.GetOffset())
-	if err != nil {
-		g.config.Logger.Error("answer to a pull not encoded", "error", err)
-		return &pb.Documents{}
-	}
-	if reply == answer {
-		reply.Positions = g.positionsOf(answer.GetPositions())
-	} else {
-		reply.Positions = g.positions()
-	}
-	return reply
-}
-
-// collectDocuments returns the documents that the sender of a pull lacks, with the revisions up to which they are
-// complete. It depends only on the pull and on this node's documents, so that nodes that are equally far answer alike.
-func (g *Gossiper) collectDocuments(m *pb.DocumentPull) *pb.Documents {
-	held := map[[2]string]int64{}
-	for _, h := range m.GetHeld() {
-		held[[2]string{h.GetKind(), h.GetName()}] = h.GetRevision()
-	}
-	answer := &pb.Documents{}
-	for _, p := range m.GetPositions() {
-		documents, position, whole := g.config.Replica.ChangesSince(p.GetKind(), p.GetRevision())
-		if position.Revision < p.GetRevision() || position.Revision == 0 {
-			continue
-		}
-		answer.Positions = append(answer.Positions, &pb.DocumentPosition{Kind: p.GetKind(), Revision: position.Revision})
-		if position.Revision == p.GetRevision() {
-			continue
-		}
-		if whole {
-			answer.WholeKinds = append(answer.WholeKinds, p.GetKind())
-		}
-		for _, d := range documents {
-			answer.Documents = append(answer.Documents, g.encodeDocument(d, held[[2]string{d.Kind, d.Name}]))
-		}
-	}
-	return answer
-}
-
-// encodeDocument encodes a document as a patch if the receiver holds a known revision of it, or else whole.
-func (g *Gossiper) encodeDocument(d replicator.Document, held int64) *pb.Document {
-	encoded := &pb.Document{Kind: d.Kind, Name: d.Name, Revision: d.Revision, Deleted: d.Deleted}
-	if held > 0 {
-		encoded.Patch = g.config.Patcher.Patch(d, held)
-	}
-	if encoded.GetPatch() == nil {
-		encoded.Data = d.Data
-	}
-	return encoded
-}
-
 // decodeDocuments returns the documents of an answer, by kind.
 func (g *Gossiper) decodeDocuments(m *pb.Documents) ([]replicator.Document, error) {
 	documents := make([]replicator.Document, 0, len(m.GetDocuments()))
@@ -288,19 +188,6 @@
 	return time.Time{}
 }
 
-// positionsOf returns this node's positions for the kinds of which it still has the stated revision, as of now.
-func (g *Gossiper) positionsOf(stated []*pb.DocumentPosition) []*pb.DocumentPosition {
-	positions := make([]*pb.DocumentPosition, 0, len(stated))
-	for _, s := range stated {
-		p := g.encodePosition(s.GetKind(), g.config.Replica.Position(s.GetKind()))
-		if p.GetRevision() != s.GetRevision() {
-			p = s
-		}
-		positions = append(positions, p)
-	}
-	return positions
-}
-
 func revisions(positions []*pb.DocumentPosition) map[string]int64 {
 	byKind := make(map[string]int64, len(positions))
 	for _, p := range positions {
@@ -308,3 +195,38 @@
 	}
 	return byKind
 }
+
+func (g *Gossiper) startPull(address string) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.pullsUnderWay[address] {
+		return false
+	}
+	g.pullsUnderWay[address] = true
+	return true
+}
+
+func (g *Gossiper) endPull(address string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	delete(g.pullsUnderWay, address)
+}
+
+func (g *Gossiper) partTimeout(address string) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return max(g.partTimeouts[address], minPartTimeout)
+}
+
+func (g *Gossiper) setPartTimeout(address string, timeout time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if timeout <= minPartTimeout {
+		delete(g.partTimeouts, address)
+		return
+	}
+	if len(g.partTimeouts) >= maxPartTimeouts {
+		clear(g.partTimeouts)
+	}
+	g.partTimeouts[address] = min(timeout, maxPartTimeout)
+}
