--- a/internal/records/chunker/chunker.go
+++ b/internal/records/chunker/chunker.go
@@ -1,6 +1,6 @@
-// Package chunker compresses large answers and cuts them into parts. A node requests one part after the other, so that
-// the bytes under way to it stay few, other frames pass between the parts, and a transfer that was interrupted can
-// continue, also at another node that would send the same answer.
+// Package chunker compresses large answers and cuts them into chunks. A node requests one chunk after the other, so
+// that the bytes under way to it stay few, other frames pass between the chunks, and a transfer that was interrupted
+// can continue, also at another node that would send the same answer.
 package chunker
 
 import (
@@ -17,11 +17,11 @@
 )
 
 const (
-	// partBytes is the size of a part: 13 ms on a link of 20 Mb/s.
-	partBytes = 32 << 10
+	// chunkBytes is the size of a chunk: 13 ms on a link of 20 Mb/s.
+	chunkBytes = 32 << 10
 	// maxPlainBytes is the size up to which an answer is sent as it is.
 	maxPlainBytes = 4 << 10
-	// maxTransfers is the number of compressed answers that are kept for the pulls of their further parts.
+	// maxTransfers is the number of compressed answers that are kept for the pulls of their further chunks.
 	maxTransfers = 4
 )
 
@@ -49,17 +49,17 @@
 	return &Chunker{}
 }
 
-// Continue returns the part at an offset of an answer that was cut before, or nil if it is no longer kept.
+// Continue returns the chunk at an offset of an answer that was cut before, or nil if it is no longer kept.
 func (c *Chunker) Continue(id, offset uint64) *pb.Documents {
 	t, found := c.find(func(t transfer) bool { return t.id == id })
 	if !found || offset >= uint64(len(t.compressed)) {
 		return nil
 	}
-	return t.part(offset)
+	return t.chunk(offset)
 }
 
-// Cut returns an answer as it is if it is small. Otherwise it returns the part from the offset on, if the receiver has
-// the bytes before the offset of this very answer, or else the first part.
+// Cut returns an answer as it is if it is small. Otherwise it returns the chunk from the offset on, if the receiver has
+// the bytes before the offset of this very answer, or else the first chunk.
 func (c *Chunker) Cut(answer *pb.Documents, id, offset uint64) (*pb.Documents, error) {
 	plain, err := proto.MarshalOptions{Deterministic: true}.Marshal(answer)
 	if err != nil {
@@ -75,7 +75,7 @@
 	if t.id != id || offset >= uint64(len(t.compressed)) {
 		offset = 0
 	}
-	return t.part(offset), nil
+	return t.chunk(offset), nil
 }
 
 // transferOf returns the transfer of an answer, which it compresses if it is not kept.
@@ -117,10 +117,10 @@
 	}
 }
 
-func (t transfer) part(offset uint64) *pb.Documents {
+func (t transfer) chunk(offset uint64) *pb.Documents {
 	size := uint64(len(t.compressed))
 	return &pb.Documents{
-		Part: t.compressed[offset:min(offset+partBytes, size)], Transfer: t.id, Offset: offset, Size: size,
+		Chunk: t.compressed[offset:min(offset+chunkBytes, size)], Transfer: t.id, Offset: offset, Size: size,
 	}
 }
 
--- a/internal/records/chunker/chunker_test.go
+++ b/internal/records/chunker/chunker_test.go
@@ -28,10 +28,10 @@
 	c := chunker.New()
 	var transfers []uint64
 	for revision := range int64(10) {
-		part, err := c.Cut(answer(revision), 0, 0)
+		chunk, err := c.Cut(answer(revision), 0, 0)
 		is.NoErr(err)
-		is.Equal(uint64(len(part.GetPart())), part.GetSize()) // zeros are compressed to one part
-		transfers = append(transfers, part.GetTransfer())
+		is.Equal(uint64(len(chunk.GetChunk())), chunk.GetSize()) // zeros are compressed to one chunk
+		transfers = append(transfers, chunk.GetTransfer())
 	}
 	is.True(c.Continue(transfers[0], 0) == nil)
 	is.True(c.Continue(transfers[9], 0) != nil)
--- a/internal/records/gossiper/answer.go
+++ b/internal/records/gossiper/answer.go
@@ -5,16 +5,16 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
 )
 
-// HandlePull answers another node's pull with the documents that it lacks, or a part of them.
+// HandlePull answers another node's pull with the documents that it lacks, or a chunk of them.
 func (g *Gossiper) HandlePull(m *pb.DocumentPull) *pb.Documents {
 	if m.GetTransfer() != 0 {
-		if part := g.chunker.Continue(m.GetTransfer(), m.GetOffset()); part != nil {
-			part.Positions = g.positions()
-			return part
+		if chunk := g.chunker.Continue(m.GetTransfer(), m.GetOffset()); chunk != nil {
+			chunk.Positions = g.positions()
+			return chunk
 		}
 	}
 	answer := g.collectDocuments(m)
-	if !m.GetParts() {
+	if !m.GetChunks() {
 		answer.Positions = g.positionsOf(answer.GetPositions())
 		return answer
 	}
--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -6,7 +6,7 @@
 // A notice only says that a pull is worthwhile. When a position was confirmed is learned from the answer to a pull and
 // counted from the time of the pull, because a notice may have waited on its way for any time.
 //
-// One pull at a time is under way. Its answer holds patches of large documents and comes in parts of bounded size, so
+// One pull at a time is under way. Its answer holds patches of large documents and comes in chunks of bounded size, so
 // that documents that are large or change often do not congest the links.
 package gossiper
 
@@ -34,14 +34,14 @@
 	minForwardAdvance = 300 * time.Millisecond
 	// noticeTimeout bounds the sending of one notice.
 	noticeTimeout = 800 * time.Millisecond
-	// The time limit of the pull of one part from a node is partTimeoutFactor times what the last part took, between
-	// minPartTimeout and maxPartTimeout. It doubles with each pull that runs into it: more pulls would not help nodes
+	// The time limit of the pull of one chunk from a node is chunkTimeoutFactor times what the last chunk took, between
+	// minChunkTimeout and maxChunkTimeout. It doubles with each pull that runs into it: more pulls would not help nodes
 	// whose links are congested.
-	minPartTimeout    = 100 * time.Millisecond
-	maxPartTimeout    = 1200 * time.Millisecond
-	partTimeoutFactor = 4
-	// maxPartTimeouts bounds the number of time limits that are kept.
-	maxPartTimeouts = 64
+	minChunkTimeout    = 100 * time.Millisecond
+	maxChunkTimeout    = 1200 * time.Millisecond
+	chunkTimeoutFactor = 4
+	// maxChunkTimeouts bounds the number of time limits that are kept.
+	maxChunkTimeouts = 64
 )
 
 type (
@@ -113,8 +113,8 @@
 		announced map[string]announcedRevisions
 		// partial is the answer of which a pull was interrupted; nil without one.
 		partial *partialAnswer
-		// partTimeouts has, by peer address, the time limits of pulls that are above minPartTimeout.
-		partTimeouts map[string]time.Duration
+		// chunkTimeouts has, by peer address, the time limits of pulls that are above minChunkTimeout.
+		chunkTimeouts map[string]time.Duration
 	}
 
 	// notice is a received notice.
@@ -129,7 +129,7 @@
 	return &Gossiper{
 		config: c, announcements: make(chan struct{}, 1), chunker: chunker.New(), pendingNotices: map[string]notice{},
 		pullsUnderWay: map[string]bool{}, announced: map[string]announcedRevisions{},
-		partTimeouts: map[string]time.Duration{},
+		chunkTimeouts: map[string]time.Duration{},
 	}
 }
 
--- a/internal/records/gossiper/pull.go
+++ b/internal/records/gossiper/pull.go
@@ -14,7 +14,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
 )
 
-// partialAnswer is the received part of an answer to a pull.
+// partialAnswer holds the chunks received so far of an answer to a pull.
 type partialAnswer struct {
 	joiner joiner.Joiner
 	// pull is the pull without the state of the transfer.
@@ -38,7 +38,7 @@
 	}
 }
 
-// Pull asks one node for the documents that this node lacks, one part after the other, and applies them. It does
+// Pull asks one node for the documents that this node lacks, one chunk after the other, and applies them. It does
 // nothing if a pull from that node is under way.
 func (g *Gossiper) Pull(ctx context.Context, address string) error {
 	if !g.startPull(address) {
@@ -50,7 +50,7 @@
 	startedAt := g.config.Clock.Now()
 	for {
 		requestedAt := g.config.Clock.Now()
-		reply, err := g.pullPart(ctx, address, partial)
+		reply, err := g.pullChunk(ctx, address, partial)
 		if err != nil {
 			g.keepPartial(partial)
 			return err
@@ -75,21 +75,21 @@
 	}
 }
 
-// pullPart pulls the next part of an answer.
-func (g *Gossiper) pullPart(ctx context.Context, address string, p *partialAnswer) (*pb.Frame, error) {
-	timeout := g.partTimeout(address)
+// pullChunk pulls the next chunk of an answer.
+func (g *Gossiper) pullChunk(ctx context.Context, address string, p *partialAnswer) (*pb.Frame, error) {
+	timeout := g.chunkTimeout(address)
 	callContext, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	pull := &pb.DocumentPull{Positions: p.pull.GetPositions(), Held: p.pull.GetHeld(), Parts: true}
+	pull := &pb.DocumentPull{Positions: p.pull.GetPositions(), Held: p.pull.GetHeld(), Chunks: true}
 	pull.Transfer, pull.Offset = p.joiner.Next()
 	requestedAt := g.config.Clock.Now()
 	reply, err := g.config.Messenger.Call(callContext, address, messenger.PlaneControl,
 		&pb.Frame{Body: &pb.Frame_DocumentPull{DocumentPull: pull}})
 	switch {
 	case err == nil:
-		g.setPartTimeout(address, partTimeoutFactor*g.config.Clock.Since(requestedAt))
+		g.setChunkTimeout(address, chunkTimeoutFactor*g.config.Clock.Since(requestedAt))
 	case callContext.Err() != nil:
-		g.setPartTimeout(address, 2*timeout)
+		g.setChunkTimeout(address, 2*timeout)
 	}
 	return reply, err
 }
@@ -212,21 +212,21 @@
 	delete(g.pullsUnderWay, address)
 }
 
-func (g *Gossiper) partTimeout(address string) time.Duration {
+func (g *Gossiper) chunkTimeout(address string) time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return max(g.partTimeouts[address], minPartTimeout)
+	return max(g.chunkTimeouts[address], minChunkTimeout)
 }
 
-func (g *Gossiper) setPartTimeout(address string, timeout time.Duration) {
+func (g *Gossiper) setChunkTimeout(address string, timeout time.Duration) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if timeout <= minPartTimeout {
-		delete(g.partTimeouts, address)
+	if timeout <= minChunkTimeout {
+		delete(g.chunkTimeouts, address)
 		return
 	}
-	if len(g.partTimeouts) >= maxPartTimeouts {
-		clear(g.partTimeouts)
+	if len(g.chunkTimeouts) >= maxChunkTimeouts {
+		clear(g.chunkTimeouts)
 	}
-	g.partTimeouts[address] = min(timeout, maxPartTimeout)
+	g.chunkTimeouts[address] = min(timeout, maxChunkTimeout)
 }
--- a/internal/records/gossiper/slow_links_test.go
+++ b/internal/records/gossiper/slow_links_test.go
@@ -238,9 +238,9 @@
 		}
 		time.Sleep(400 * time.Millisecond)
 		is.Equal(f.replica["node-19"].Position(kind).Revision, int64(1))
-		parts := f.pulls.Load() - answered
-		t.Logf("%d parts", parts)
-		is.True(parts < 50)
+		chunks := f.pulls.Load() - answered
+		t.Logf("%d chunks", chunks)
+		is.True(chunks < 50)
 		cancel()
 		time.Sleep(time.Hour) // lets the goroutines and all frames under way end
 	})
--- a/internal/records/joiner/joiner.go
+++ b/internal/records/joiner/joiner.go
@@ -1,4 +1,4 @@
-// Package joiner puts together an answer that arrives in parts.
+// Package joiner puts together an answer that arrives in chunks.
 package joiner
 
 import (
@@ -19,20 +19,20 @@
 	maxPlainBytes      = 64 << 20
 )
 
-// Joiner holds the parts of one answer. The zero value has none. It is not safe for concurrent use.
+// Joiner holds the chunks of one answer. The zero value has none. It is not safe for concurrent use.
 type Joiner struct {
 	transfer uint64
 	// received are the first bytes of the answer whose digest is transfer.
 	received []byte
 }
 
-// Next returns the transfer to continue and the offset of the part that is missing next; both are 0 without parts.
+// Next returns the transfer to continue and the offset of the chunk that is missing next; both are 0 without chunks.
 func (j *Joiner) Next() (transfer, offset uint64) {
 	return j.transfer, uint64(len(j.received))
 }
 
-// Add adds a part. It returns the answer and true once that is complete. A part of another answer replaces what
-// was received so far; it must be the first one. After an error the Joiner has no parts.
+// Add adds a chunk. It returns the answer and true once that is complete. A chunk of another answer replaces what
+// was received so far; it must be the first one. After an error the Joiner has no chunks.
 func (j *Joiner) Add(m *pb.Documents) (answer *pb.Documents, complete bool, err error) {
 	if m.GetSize() == 0 {
 		*j = Joiner{}
@@ -41,13 +41,13 @@
 	if m.GetTransfer() != j.transfer {
 		*j = Joiner{transfer: m.GetTransfer()}
 	}
-	if m.GetOffset() != uint64(len(j.received)) || len(m.GetPart()) == 0 || m.GetSize() > maxCompressedBytes ||
-		m.GetOffset()+uint64(len(m.GetPart())) > m.GetSize() {
+	if m.GetOffset() != uint64(len(j.received)) || len(m.GetChunk()) == 0 || m.GetSize() > maxCompressedBytes ||
+		m.GetOffset()+uint64(len(m.GetChunk())) > m.GetSize() {
 		*j = Joiner{}
-		return nil, false, errors.Newf("joiner: part of %d bytes at %d of %d does not fit",
-			len(m.GetPart()), m.GetOffset(), m.GetSize())
+		return nil, false, errors.Newf("joiner: chunk of %d bytes at %d of %d does not fit",
+			len(m.GetChunk()), m.GetOffset(), m.GetSize())
 	}
-	j.received = append(j.received, m.GetPart()...)
+	j.received = append(j.received, m.GetChunk()...)
 	if uint64(len(j.received)) < m.GetSize() {
 		return nil, false, nil
 	}
--- a/internal/records/joiner/joiner_test.go
+++ b/internal/records/joiner/joiner_test.go
@@ -12,7 +12,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/joiner"
 )
 
-// answer returns an answer of several parts.
+// answer returns an answer of several chunks.
 func answer(seed uint64) *pb.Documents {
 	random, data := rand.New(rand.NewPCG(seed, 1)), make([]byte, 200<<10)
 	for i := range data {
@@ -23,19 +23,19 @@
 
 func cut(is *is.I, c *chunker.Chunker, a *pb.Documents, j *joiner.Joiner) *pb.Documents {
 	transfer, offset := j.Next()
-	part, err := c.Cut(a, transfer, offset)
+	chunk, err := c.Cut(a, transfer, offset)
 	is.NoErr(err)
-	return part
+	return chunk
 }
 
-// Guards against a transfer that starts again when the node that sent its first parts is lost.
+// Guards against a transfer that starts again when the node that sent its first chunks is lost.
 func TestTransferContinuesAtAnotherNode(t *testing.T) {
 	is := is.New(t)
 	first, second, a := chunker.New(), chunker.New(), answer(1)
 	var j joiner.Joiner
-	parts := 0
+	chunks := 0
 	for sender := first; ; sender = second {
-		parts++
+		chunks++
 		joined, complete, err := j.Add(cut(is, sender, a, &j))
 		is.NoErr(err)
 		if complete {
@@ -43,10 +43,10 @@
 			break
 		}
 	}
-	is.Equal(parts, 7) // 200 KiB in parts of 32 KiB
+	is.Equal(chunks, 7) // 200 KiB in chunks of 32 KiB
 }
 
-// Guards against an answer made of parts of two answers, when the sender's documents change between two parts.
+// Guards against an answer made of chunks of two answers, when the sender's documents change between two chunks.
 func TestTransferRestartsWhenAnswerChanges(t *testing.T) {
 	is := is.New(t)
 	c := chunker.New()
@@ -66,15 +66,15 @@
 	}
 }
 
-// Guards against parts that do not fit, are damaged or announce more than the bound.
-func TestUnusablePartsAreRefused(t *testing.T) {
+// Guards against chunks that do not fit, are damaged or announce more than the bound.
+func TestUnusableChunksAreRefused(t *testing.T) {
 	is := is.New(t)
 	for name, m := range map[string]*pb.Documents{
-		"offset":       {Part: []byte("x"), Transfer: 1, Offset: 5, Size: 10},
+		"offset":       {Chunk: []byte("x"), Transfer: 1, Offset: 5, Size: 10},
 		"empty":        {Transfer: 1, Size: 10},
-		"beyond size":  {Part: []byte("xxx"), Transfer: 1, Size: 2},
-		"large":        {Part: []byte("x"), Transfer: 1, Size: 1 << 40},
-		"wrong digest": {Part: []byte("x"), Transfer: 1, Size: 1},
+		"beyond size":  {Chunk: []byte("xxx"), Transfer: 1, Size: 2},
+		"large":        {Chunk: []byte("x"), Transfer: 1, Size: 1 << 40},
+		"wrong digest": {Chunk: []byte("x"), Transfer: 1, Size: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
