Let nodes that missed the same rumour catch up

Cause: a node requests all members when the digests of 12 other nodes in a row differ from its own. Two nodes that missed the same rumours have equal digests, and each time they meet the count begins anew. In all 11 cases that were printed the incomplete views came in groups of two or three nodes that lacked the same members.

Ruled out: lost messages (none in this test), members that were not running (all others had them).

Fix: an equal digest takes away half of what a different one adds, instead of everything. While a third of the nodes or more have the complete view, doubt grows until all members are requested. A single rumour still causes no request after the digests have become equal.

Evidence: TestNodesWithSameStaleViewCatchUp fails with the old rule.

--- a/internal/view/detector/detector.go
+++ b/internal/view/detector/detector.go
@@ -44,9 +44,12 @@
 	// fail together, one answer is out of date as soon as it arrives, and rumours alone take tens of seconds.
 	minEverythingInterval = 500 * time.Millisecond
 	maxEverythingInterval = 10 * time.Second
-	// maxDigestMismatches is the number of consecutive mismatches above which a rumour must have been missed. Fewer occur
-	// while a single rumour spreads.
-	maxDigestMismatches = 12
+	// maxDigestDoubt is the doubt above which a rumour must have been missed; less arises while a single rumour spreads. An
+	// equal digest takes away less doubt than a different one adds, because nodes that missed the same rumour have equal
+	// digests.
+	maxDigestDoubt      = 24
+	digestMismatchDoubt = 2
+	digestMatchRelief   = 1
 
 	// goldenRatio64 is 2^64 divided by the golden ratio; it spreads start times over all bits of the digest.
 	goldenRatio64 = 0x9e3779b97f4a7c15
@@ -74,10 +77,10 @@
 		self   *pb.Member
 		// superseded is set when a newer process runs under this node's name at another address.
 		superseded bool
-		// digest identifies the list of members; digestMismatches counts the consecutive digests of other nodes that
-		// differed from it.
-		digest           uint64
-		digestMismatches int
+		// digest identifies the list of members. digestDoubt is at least 0: digestMismatchDoubt for each digest of another
+		// node that differed, less digestMatchRelief for each equal one, since all members were last requested.
+		digest      uint64
+		digestDoubt int
 		// resyncPending is set from a pause of the process until all members have been requested again.
 		resyncPending bool
 		// everythingRequestedAt is when this node last requested all members; requests made before it joined do not count.
@@ -211,33 +214,33 @@
 
 // WantsEverything tells whether the next probe is to request all members. A node that knows no live member always
 // requests them. Any other does so after a pause of the process, with a large backlog of rumours, after many digest
-// mismatches, or after any mismatch if the last answer with all members has brought news. The requests come at growing
+// mismatches, or after any recent mismatch if the last answer with all members has brought news. The requests come at growing
 // intervals.
 func (d *Detector) WantsEverything(now time.Time) bool {
 	if !d.Joined() {
 		return true
 	}
-	due := d.resyncPending || len(d.transmissionsLeft) > maxRumourBacklog || d.digestMismatches > maxDigestMismatches ||
-		(d.everythingBroughtNews && d.digestMismatches > 0)
+	due := d.resyncPending || len(d.transmissionsLeft) > maxRumourBacklog || d.digestDoubt > maxDigestDoubt ||
+		(d.everythingBroughtNews && d.digestDoubt > 0)
 	if !due || now.Sub(d.everythingRequestedAt) < d.everythingInterval {
 		return false
 	}
 	d.resyncPending = false
-	d.digestMismatches = 0
+	d.digestDoubt = 0
 	d.everythingRequestedAt = now
 	d.everythingInterval = min(max(2*d.everythingInterval, minEverythingInterval), maxEverythingInterval)
 	d.everythingBroughtNews = false
 	return true
 }
 
-// ObserveDigest compares another node's digest with this node's. Digests differ while a rumour spreads; if they keep
-// differing, this node or the others missed a rumour.
+// ObserveDigest compares another node's digest with this node's. Digests differ while a rumour spreads; if most of them
+// keep differing, this node or the others missed a rumour.
 func (d *Detector) ObserveDigest(digest uint64) {
 	if digest == d.Digest() {
-		d.digestMismatches = 0
+		d.digestDoubt = max(0, d.digestDoubt-digestMatchRelief)
 		return
 	}
-	d.digestMismatches++
+	d.digestDoubt += digestMismatchDoubt
 }
 
 // Leave marks this node as leaving, which tells the others that it accepts no new work.
--- a/internal/view/detector/detector_test.go
+++ b/internal/view/detector/detector_test.go
@@ -152,3 +152,22 @@
 	is.Equal(len(d.Lost()), 0)
 	is.True(d.Generation() > generation) // so that shares that depend on the members are computed again
 }
+
+// TestNodesWithSameStaleViewCatchUp guards against nodes that missed the same rumour and keep confirming each other's view.
+func TestNodesWithSameStaleViewCatchUp(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	d := newDetector()
+	d.MergeRumours(now, []*pb.Member{member("peer", "10.0.0.2:7300", 50, 1, pb.MemberState_MEMBER_STATE_ALIVE)})
+	requested := false
+	const exchanges = 40 // of ten seconds: a node probes and is probed about twice a second
+	for i := range exchanges {
+		digest := d.Digest()
+		if i%3 != 0 { // two of three other nodes have the complete view
+			digest++
+		}
+		d.ObserveDigest(digest)
+		requested = requested || d.WantsEverything(now.Add(time.Duration(i)*250*time.Millisecond))
+	}
+	is.True(requested)
+}
