Probe each member in every period

Cause: each node probes the members in an order of its own, so nothing bounds the time until any node probes a given one. Not load: time in the test is virtual.

Fix: the order of a round follows from the number of the period, the same for all nodes, and from a member's distance from the node, so that in each period each member is probed by one node. Where clocks or views differ, it is as random as before.

Messages and bytes unchanged.

--- a/internal/view/detector/detector.go
+++ b/internal/view/detector/detector.go
@@ -63,9 +63,12 @@
 		// SuspicionPeriod is how long a suspect has to refute the suspicion. It does not grow with the fleet size:
 		// the node that raised the suspicion keeps probing the suspect, which thus need not wait for a rumour.
 		SuspicionPeriod time.Duration
+		// ProbePeriod is the time from one call of NextTargets to the next, at least 1 ns.
+		ProbePeriod time.Duration
 		// Seeds are the peer addresses from the settings.
 		Seeds []string
-		// FilterTargets returns those of the named members that are to be probed; nil means all. It may modify the slice.
+		// FilterTargets returns those of the named members that are to be probed; nil means all. The names are in the order
+		// of the ring that begins behind this node, which it keeps if it returns all. It may modify the slice.
 		FilterTargets func(names []string) []string
 		Random        *rand.Rand
 		Asserter      *asserter.Asserter
@@ -100,8 +103,8 @@
 		transmissionsLeft map[string]int
 		// mergingEverything is set while a message with all members of the sender's view is merged.
 		mergingEverything bool
-		// localRound and remoteRound hold the names left to probe, in shuffled order, in this region and in others.
-		localRound, remoteRound []string
+		// localRound and remoteRound are the current passes over the members of this region and of all others.
+		localRound, remoteRound round
 		period                  uint64
 		// members is sorted by name and is replaced, never modified in place. While membersStale is set, the next
 		// read computes it again.
@@ -128,6 +131,16 @@
 		claim *pb.Member
 	}
 
+	// round is one pass over the members to probe.
+	round struct {
+		// generation is the generation of the view that names were taken from.
+		generation uint64
+		// number is the number of this pass since the epoch; nodes with the same view and time have the same number.
+		number uint64
+		// names is in the order of probing.
+		names []string
+	}
+
 	record struct {
 		claim *pb.Member
 		// leaving is set once the process has said that it is leaving, and is never cleared for that process.
--- a/internal/view/detector/detector_test.go
+++ b/internal/view/detector/detector_test.go
@@ -13,7 +13,10 @@
 	"github.com/magnoliastep/magnoliastep/internal/view/detector"
 )
 
-const suspicionPeriod = 2 * time.Second
+const (
+	suspicionPeriod = 2 * time.Second
+	probePeriod     = 500 * time.Millisecond
+)
 
 func member(name, address string, startedAt int64, incarnation uint64, state pb.MemberState) *pb.Member {
 	return &pb.Member{
@@ -24,7 +27,7 @@
 func newDetector() *detector.Detector {
 	return detector.New(detector.Config{
 		Self:            member("self", "10.0.0.1:7300", 100, 1, pb.MemberState_MEMBER_STATE_ALIVE),
-		SuspicionPeriod: suspicionPeriod, Random: rand.New(rand.NewPCG(1, 2)),
+		SuspicionPeriod: suspicionPeriod, ProbePeriod: probePeriod, Random: rand.New(rand.NewPCG(1, 2)),
 	})
 }
 
--- a/internal/view/detector/targets.go
+++ b/internal/view/detector/targets.go
@@ -1,13 +1,14 @@
 package detector
 
 import (
+	"math/rand/v2"
 	"time"
 
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 )
 
 // NextTargets starts a probe period and returns the addresses to probe in it. Once the node has joined, these are one
-// live member, taken from shuffled rounds, at most one member that this node itself suspects, and in every
+// live member, taken from rounds over all of them, at most one member that this node itself suspects, and in every
 // periodsPerNonMemberProbe-th period one address where no live node is known: a candidate and a dead member in turn.
 func (d *Detector) NextTargets(now time.Time) []Target {
 	d.period++
@@ -15,7 +16,7 @@
 		return append(d.nextCandidates(now, joinProbesPerPeriod), d.nextDead(now)...)
 	}
 	var targets []Target
-	if t, ok := d.nextMember(); ok {
+	if t, ok := d.nextMember(now); ok {
 		targets = append(targets, t)
 	}
 	if t, ok := d.nextOwnSuspect(targets); ok {
@@ -30,43 +31,71 @@
 	return targets
 }
 
-// nextMember returns the next live member of the current round, in every periodsPerRemoteProbe-th period from the
-// round of the other regions and otherwise from that of this node's region. It uses the other round when the
-// preferred one has no live member.
-func (d *Detector) nextMember() (Target, bool) {
-	first, second := &d.localRound, &d.remoteRound
-	if d.period%periodsPerRemoteProbe == 0 {
-		first, second = second, first
-	}
-	for _, round := range []*[]string{first, second} {
-		if len(*round) == 0 {
-			*round = d.newRound(round == &d.localRound)
+// nextMember returns the live member to probe in this period, in every periodsPerRemoteProbe-th period one of another
+// region if there is any, and otherwise one of this node's region.
+func (d *Detector) nextMember(now time.Time) (Target, bool) {
+	period := uint64(now.UnixNano()) / uint64(d.config.ProbePeriod)
+	if period%periodsPerRemoteProbe == 0 {
+		if t, ok := d.nextInRound(&d.remoteRound, period/periodsPerRemoteProbe); ok {
+			return t, true
 		}
-		for len(*round) > 0 {
-			name := (*round)[0]
-			*round = (*round)[1:]
-			if r := d.records[name]; r != nil && r.claim.GetState() != pb.MemberState_MEMBER_STATE_DEAD {
-				return d.target(name), true
-			}
+	}
+	if t, ok := d.nextInRound(&d.localRound, period); ok {
+		return t, true
+	}
+	return d.nextInRound(&d.remoteRound, period)
+}
+
+// nextInRound returns the member at the position of the step in its round, or the next live one after it. It starts a
+// new round when the previous one has ended or the view has changed.
+func (d *Detector) nextInRound(r *round, step uint64) (Target, bool) {
+	if r.generation != d.Generation() || r.number != step/uint64(max(1, len(r.names))) {
+		*r = d.newRound(r == &d.localRound, step)
+	}
+	for i := range r.names {
+		name := r.names[(step+uint64(i))%uint64(len(r.names))]
+		if k := d.records[name]; k != nil && k.claim.GetState() != pb.MemberState_MEMBER_STATE_DEAD {
+			return d.target(name), true
 		}
 	}
 	return Target{}, false
 }
 
-func (d *Detector) newRound(local bool) []string {
-	var names []string
+// newRound returns the round that has the step, over this node's region or all others. If all members are targets, their
+// order is that of their distances from this node in the ring of names, shuffled in the same way by all nodes: as long as
+// views and clocks agree, each member is probed by exactly one node a period. A node with few targets has them in an
+// order of its own, in which rumours spread faster; each member is then a target of few nodes that come to it often.
+func (d *Detector) newRound(local bool, step uint64) round {
+	names := d.membersByDistance(local)
+	members := len(names)
+	if d.config.FilterTargets != nil {
+		names = d.config.FilterTargets(names)
+	}
+	number := step / uint64(max(1, len(names)))
+	random := d.config.Random
+	if len(names) == members {
+		random = rand.New(rand.NewPCG(number, uint64(members))) //nolint:gosec // spreads probes, protects nothing
+	}
+	random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return round{generation: d.Generation(), number: number, names: names}
+}
+
+// membersByDistance returns the names of the live members of this node's region or of all others, in the order of the
+// ring of names that begins behind this node.
+func (d *Detector) membersByDistance(local bool) []string {
+	var behind, before []string
 	for _, n := range d.sortedNames() {
 		claim := d.records[n].claim
 		isLocal := claim.GetRegion() == d.self.GetRegion()
-		if isLocal == local && claim.GetState() != pb.MemberState_MEMBER_STATE_DEAD {
-			names = append(names, n)
+		switch {
+		case isLocal != local || claim.GetState() == pb.MemberState_MEMBER_STATE_DEAD:
+		case n > d.self.GetName():
+			behind = append(behind, n)
+		default:
+			before = append(before, n)
 		}
 	}
-	if d.config.FilterTargets != nil {
-		names = d.config.FilterTargets(names)
-	}
-	d.config.Random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return names
+	return append(behind, before...)
 }
 
 // nextOwnSuspect returns a member that this node itself suspects and that is not the chosen target already. The
--- a/internal/view/prober/prober.go
+++ b/internal/view/prober/prober.go
@@ -85,8 +85,8 @@
 func New(c Config) *Prober {
 	p := &Prober{config: c, inFlight: make(chan struct{}, maxProbesInFlight), loggedGeneration: 1}
 	p.detector = detector.New(detector.Config{
-		Self: c.Self, SuspicionPeriod: c.SuspicionPeriod, Seeds: c.SeedPeers, FilterTargets: c.FilterTargets,
-		Random:   c.Random,
+		Self: c.Self, SuspicionPeriod: c.SuspicionPeriod, ProbePeriod: c.ProbePeriod,
+		Seeds: c.SeedPeers, FilterTargets: c.FilterTargets, Random: c.Random,
 		Asserter: c.Asserter,
 	})
 	p.registerMetrics()
