--- a/internal/view/detector/detector.go
+++ b/internal/view/detector/detector.go
@@ -28,6 +28,8 @@
 	// periodsPerNonMemberProbe is the number of periods from one probe of an address where no live node is known, a
 	// candidate or a dead member, to the next.
 	periodsPerNonMemberProbe = 8
+	// maxAnnouncementTargets bounds the further members that are probed at once after a change of the request for helpers.
+	maxAnnouncementTargets = 4
 	// joinProbesPerPeriod is how many candidate addresses a node probes in each period while it knows no live member.
 	joinProbesPerPeriod = 4
 
@@ -103,6 +105,8 @@
 		transmissionsLeft map[string]int
 		// mergingEverything is set while a message with all members of the sender's view is merged.
 		mergingEverything bool
+		// announcementPending is set from a change of the request for helpers until the next targets are chosen.
+		announcementPending bool
 		// localRound and remoteRound are the current passes over the members of this region and of all others.
 		localRound, remoteRound round
 		period                  uint64
@@ -211,7 +215,7 @@
 }
 
 // SetHelpers sets the number of further serving nodes that this node asks for. Unlike the load it must reach all nodes,
-// so a change is a new claim, which spreads as a rumour.
+// so a change is a new claim, which spreads as a rumour that several members get at once.
 func (d *Detector) SetHelpers(helpers uint32) {
 	if d.self.GetHelpers() == helpers {
 		return
@@ -219,6 +223,7 @@
 	d.self = proto.CloneOf(d.self)
 	d.self.Helpers = helpers
 	d.self.Incarnation++
+	d.announcementPending = true
 	d.invalidateMembers()
 }
 
--- a/internal/view/detector/targets.go
+++ b/internal/view/detector/targets.go
@@ -2,14 +2,16 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 )
 
 // NextTargets starts a probe period and returns the addresses to probe in it. Once the node has joined, these are one
-// live member, taken from rounds over all of them, at most one member that this node itself suspects, and in every
-// periodsPerNonMemberProbe-th period one address where no live node is known: a candidate and a dead member in turn.
+// live member, taken from rounds over all of them, at most one member that this node itself suspects, some more members
+// after a change of its request for helpers, and in every periodsPerNonMemberProbe-th period one address where no live
+// node is known: a candidate and a dead member in turn.
 func (d *Detector) NextTargets(now time.Time) []Target {
 	d.period++
 	if !d.Joined() {
@@ -22,6 +24,10 @@
 	if t, ok := d.nextOwnSuspect(targets); ok {
 		targets = append(targets, t)
 	}
+	if d.announcementPending {
+		d.announcementPending = false
+		targets = append(targets, d.announcementTargets(targets)...)
+	}
 	switch d.period % (2 * periodsPerNonMemberProbe) {
 	case 0:
 		targets = append(targets, d.nextCandidates(now, 1)...)
@@ -98,6 +104,21 @@
 	return append(behind, before...)
 }
 
+// announcementTargets returns up to maxAnnouncementTargets members of this node's region besides the chosen targets.
+func (d *Detector) announcementTargets(chosen []Target) []Target {
+	var targets []Target
+	for _, name := range d.localRound.names {
+		if len(targets) == maxAnnouncementTargets {
+			break
+		}
+		isChosen := slices.ContainsFunc(chosen, func(t Target) bool { return t.Name == name })
+		if r := d.records[name]; !isChosen && r != nil && r.claim.GetState() != pb.MemberState_MEMBER_STATE_DEAD {
+			targets = append(targets, d.target(name))
+		}
+	}
+	return targets
+}
+
 // nextOwnSuspect returns a member that this node itself suspects and that is not the chosen target already. The
 // probe tells the member of the suspicion, so that it can refute it.
 func (d *Detector) nextOwnSuspect(chosen []Target) (Target, bool) {
--- a/internal/view/detector/targets_test.go
+++ b/internal/view/detector/targets_test.go
@@ -36,6 +36,23 @@
 	}
 }
 
+// TestRequestForHelpersGoesToSeveralMembersAtOnce guards against a request that spreads from one member a period at first.
+func TestRequestForHelpersGoesToSeveralMembersAtOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	d := detectorsOfOneFleet(30)[0]
+	is.Equal(len(d.NextTargets(now)), 1)
+	d.SetHelpers(2)
+	targets := d.NextTargets(now.Add(probePeriod))
+	is.Equal(len(targets), 5)
+	names := map[string]bool{}
+	for _, target := range targets {
+		names[target.Name] = true
+	}
+	is.Equal(len(names), len(targets)) // no member twice
+	is.Equal(len(d.NextTargets(now.Add(2*probePeriod))), 1)
+}
+
 func nodeName(i int) string { return fmt.Sprintf("node-%04d", i) }
 
 // detectorsOfOneFleet returns the detectors of nodes that all know each other.
