--- a/internal/view/detector/detector.go
+++ b/internal/view/detector/detector.go
@@ -46,9 +46,9 @@
 	// fail together, one answer is out of date as soon as it arrives, and rumours alone take tens of seconds.
 	minEverythingInterval = 500 * time.Millisecond
 	maxEverythingInterval = 10 * time.Second
-	// maxDigestDoubt is the doubt above which a rumour must have been missed; less arises while a single rumour spreads. An
-	// equal digest takes away less doubt than a different one adds, because nodes that missed the same rumour have equal
-	// digests.
+	// maxDigestDoubt is the doubt above which a rumour must have been missed; less arises while a single rumour spreads.
+	// An equal digest takes away less doubt than a different one adds, because nodes that missed the same rumour have
+	// equal digests.
 	maxDigestDoubt      = 24
 	digestMismatchDoubt = 2
 	digestMatchRelief   = 1
@@ -231,9 +231,9 @@
 func (d *Detector) Counters() Counters { return d.counters }
 
 // WantsEverything tells whether the next probe is to request all members. A node that knows no live member always
-// requests them. Any other does so after a pause of the process, with a large backlog of rumours, after many digest
-// mismatches, or after any recent mismatch if the last answer with all members has brought news. The requests come at growing
-// intervals.
+// requests them. Any other does so after a pause of the process, with a large backlog of rumours, when most digests
+// keep differing, or after any recent mismatch if the last answer with all members has brought news. The requests come
+// at growing intervals.
 func (d *Detector) WantsEverything(now time.Time) bool {
 	if !d.Joined() {
 		return true
--- a/internal/view/detector/detector_test.go
+++ b/internal/view/detector/detector_test.go
@@ -156,7 +156,7 @@
 	is.True(d.Generation() > generation) // so that shares that depend on the members are computed again
 }
 
-// TestNodesWithSameStaleViewCatchUp guards against nodes that missed the same rumour and keep confirming each other's view.
+// TestNodesWithSameStaleViewCatchUp guards against nodes that missed a rumour and keep confirming each other's view.
 func TestNodesWithSameStaleViewCatchUp(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
--- a/internal/view/detector/targets.go
+++ b/internal/view/detector/targets.go
@@ -67,10 +67,10 @@
 	return Target{}, false
 }
 
-// newRound returns the round that has the step, over this node's region or all others. If all members are targets, their
-// order is that of their distances from this node in the ring of names, shuffled in the same way by all nodes: as long as
-// views and clocks agree, each member is probed by exactly one node a period. A node with few targets has them in an
-// order of its own, in which rumours spread faster; each member is then a target of few nodes that come to it often.
+// newRound returns the round that has the step, over this node's region or all others. If all members are targets, they
+// are in the order of their distance from this node in the ring of names, shuffled in the same way by all nodes: as
+// long as views and clocks agree, each member is probed by exactly one node a period. A node with few targets has them
+// in an order of its own, in which rumours spread faster; each of them is a target of few nodes that come to it often.
 func (d *Detector) newRound(local bool, step uint64) round {
 	names := d.membersByDistance(local)
 	members := len(names)
--- a/internal/view/detector/targets_test.go
+++ b/internal/view/detector/targets_test.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// TestRequestForHelpersGoesToSeveralMembersAtOnce guards against a request that spreads from one member a period at first.
+// TestRequestForHelpersGoesToSeveralMembersAtOnce guards against a request that starts from one member.
 func TestRequestForHelpersGoesToSeveralMembersAtOnce(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
