Activate configurations in a goroutine of their own

Cause: each node decoded a document inside the call that stored it, before it announced it and while the lock kept pulls of its peers waiting. Five hops cost five decodings.

Fix: a node announces what it has stored at once. forward/activator decodes in a goroutine of its own, one version at a time and always the newest, so that a storm costs fewer decodings. While a version waits there, the one in force counts as surpassed: no 404, and 503 once the change is overdue, as for a version that has not arrived.

--- /dev/null
+++ b/internal/forward/activator/activator.go
@@ -0,0 +1,98 @@
+// Package activator puts the newest configuration in force. It does so in a goroutine of its own, so that decoding a
+// large configuration delays neither its way to other nodes nor the answers to their pulls. Versions that a newer one
+// has surpassed before their turn are skipped.
+package activator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/quartz"
+
+	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
+)
+
+type (
+	// Config holds what an Activator needs.
+	Config struct {
+		// Activate puts a document in force. confirmedBefore is when the version in force was last confirmed.
+		Activate func(d replicator.Document, confirmedBefore time.Time)
+		Clock    quartz.Clock
+	}
+
+	// Activator activates one document after the other. It is safe for concurrent use.
+	Activator struct {
+		config Config
+		// wakeUps holds an item while a document may wait.
+		wakeUps chan struct{}
+		mutex   sync.Mutex
+		// waiting is the newest document that has been added and whose turn has not come; nil if there is none.
+		waiting *item
+		// active is the document that is being activated; nil if there is none.
+		active *item
+	}
+
+	// item is a document that is not in force yet.
+	item struct {
+		document        replicator.Document
+		confirmedBefore time.Time
+		// since is when the version in force was first known to be surpassed.
+		since time.Time
+	}
+)
+
+// New returns an Activator without documents.
+func New(c Config) *Activator {
+	return &Activator{config: c, wakeUps: make(chan struct{}, 1)}
+}
+
+// Add makes Run activate a document instead of any that waits.
+func (a *Activator) Add(d replicator.Document, confirmedBefore time.Time) {
+	added := &item{d, confirmedBefore, a.config.Clock.Now()}
+	a.mutex.Lock()
+	if a.waiting != nil {
+		added.confirmedBefore, added.since = a.waiting.confirmedBefore, a.waiting.since
+	}
+	a.waiting = added
+	a.mutex.Unlock()
+	select {
+	case a.wakeUps <- struct{}{}:
+	default:
+	}
+}
+
+// Run activates documents until the context ends.
+func (a *Activator) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.wakeUps:
+		}
+		for i := a.start(); i != nil; i = a.start() {
+			a.config.Activate(i.document, i.confirmedBefore)
+		}
+	}
+}
+
+// start ends the activation of the last document and returns the one that waits; nil if there is none.
+func (a *Activator) start() *item {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.active, a.waiting = a.waiting, nil
+	return a.active
+}
+
+// PendingSince returns when the oldest document was added that is neither in force nor surpassed by one that is.
+// pending is false if there is none.
+func (a *Activator) PendingSince() (since time.Time, pending bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, i := range []*item{a.active, a.waiting} {
+		if i != nil {
+			return i.since, true
+		}
+	}
+	return time.Time{}, false
+}
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/magnoliastep/magnoliastep/internal/discovery/selector"
+	"github.com/magnoliastep/magnoliastep/internal/forward/activator"
 	"github.com/magnoliastep/magnoliastep/internal/forward/budgeter"
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
@@ -126,6 +127,7 @@
 		watchers   []*watcher.Watcher
 		patcher    *patcher.Patcher
 		elector    *elector.Elector
+		activator  *activator.Activator
 		gossiper   *gossiper.Gossiper
 		messenger  *messenger.Messenger
 		prober     *prober.Prober
@@ -263,6 +265,7 @@
 	for _, w := range n.watchers {
 		go w.Run(ctx)
 	}
+	go n.activator.Run(ctx)
 	go n.gossiper.Run(ctx)
 	go n.join(ctx)
 	go n.observeProcessorTime(ctx)
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
+	"github.com/magnoliastep/magnoliastep/internal/forward/activator"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
 	"github.com/magnoliastep/magnoliastep/internal/forward/sanitizer"
 	"github.com/magnoliastep/magnoliastep/internal/records/elector"
@@ -53,6 +54,7 @@
 func (n *Node) assembleRecords() {
 	c := n.config
 	n.patcher = patcher.New()
+	n.activator = activator.New(activator.Config{Activate: n.activateConfiguration, Clock: c.Clock})
 	n.replicator = replicator.New(replicator.Config{Clock: c.Clock, OnChange: n.documentChanged})
 	kinds := []string{c.Kinds.Configuration, c.Kinds.Leaves, c.Kinds.Evacuations}
 	n.gossiper = gossiper.New(gossiper.Config{
@@ -129,7 +131,7 @@
 	n.patcher.Record(d)
 	switch d.Kind {
 	case n.config.Kinds.Configuration:
-		n.configurationChanged(d, confirmedBefore)
+		n.activator.Add(d, confirmedBefore)
 	case n.config.Kinds.Leaves:
 		n.leafChanged(d, confirmedBefore)
 	case n.config.Kinds.Evacuations:
@@ -137,7 +139,8 @@
 	}
 }
 
-func (n *Node) configurationChanged(d replicator.Document, confirmedBefore time.Time) {
+// activateConfiguration puts a version of the configuration in force unless it is older than the one in force.
+func (n *Node) activateConfiguration(d replicator.Document, confirmedBefore time.Time) {
 	if d.Deleted {
 		n.config.Logger.Warn("configuration was deleted in the store; the last one stays in force", "document", d.Name)
 		return
@@ -285,13 +288,23 @@
 func (n *Node) configurationCurrent() bool {
 	kind := n.config.Kinds.Configuration
 	age := n.config.Clock.Since(n.replicator.Position(kind).ConfirmedAt)
-	return age < n.maxConfigurationAge() && n.behindFor(kind) == 0
+	return age < n.maxConfigurationAge() && n.configurationSurpassedFor() == 0
 }
 
 // configurationOutdated reports whether a newer configuration than the one in force has been known for so long that it
 // is due.
 func (n *Node) configurationOutdated() bool {
-	return n.behindFor(n.config.Kinds.Configuration) > n.maxConfigurationAge()
+	return n.configurationSurpassedFor() > n.maxConfigurationAge()
+}
+
+// configurationSurpassedFor returns how long a newer configuration than the one in force has been known, whether or not
+// this node has got it; 0 if none is known.
+func (n *Node) configurationSurpassedFor() time.Duration {
+	waited := time.Duration(0)
+	if since, pending := n.activator.PendingSince(); pending {
+		waited = max(n.config.Clock.Since(since), 1)
+	}
+	return max(waited, n.behindFor(n.config.Kinds.Configuration))
 }
 
 func (n *Node) maxConfigurationAge() time.Duration {
