Prune metrics of removed routes in linear time

What callers would see: with 5,000 routes each change of the configuration took some 0.55 s to activate on a small VM.

Cause: to find removed routes, each name of the old configuration was searched in the list of the new one: 48 ms of a core for 5,000 routes without any change, more than the decoding (32 ms), the matcher (2.3 ms) and the segments of the patcher (3.4 ms) together.

Fix: forward/pruner takes sets. 0.5 ms for 5,000 routes, in proportion to their number (BenchmarkPrune 5, 45 and 532 us). It compares whole values of labels, where a substring of the metric's name counted before.

--- a/internal/node/forwarder/metrics.go
+++ b/internal/node/forwarder/metrics.go
@@ -2,12 +2,11 @@
 
 import (
 	"net/http"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
+	"github.com/magnoliastep/magnoliastep/internal/forward/pruner"
 	"github.com/magnoliastep/magnoliastep/internal/records/gossiper"
 )
 
@@ -63,31 +62,14 @@
 	}
 }
 
-// unregisterRemovedMetrics unregisters the metrics of routes and services that the new configuration does not have any
-// more. Without this the metrics of a process that runs for months would grow with each change of the configuration.
-func (n *Node) unregisterRemovedMetrics(old, current *matcher.Matcher) {
+// pruneMetrics unregisters the metrics of routes and services that the new configuration does not have any more.
+func (n *Node) pruneMetrics(old, current *matcher.Matcher) {
 	if old == nil {
 		return
 	}
-	removed := removedLabels("route", old.RouteNames(), current.RouteNames())
-	removed = append(removed, removedLabels("service", old.ServiceNames(), current.ServiceNames())...)
-	for _, name := range n.config.Metrics.ListMetricNames() {
-		for _, label := range removed {
-			if strings.Contains(name, label) {
-				n.config.Metrics.UnregisterMetric(name)
-			}
-		}
-	}
-}
-
-func removedLabels(label string, old, current []string) []string {
-	var removed []string
-	for _, name := range old {
-		if !slices.Contains(current, name) {
-			removed = append(removed, label+`="`+name+`"`)
-		}
-	}
-	return removed
+	p := pruner.New(pruner.Config{Metrics: n.config.Metrics})
+	p.Prune("route", old.RouteNames(), current.RouteNames())
+	p.Prune("service", old.ServiceNames(), current.ServiceNames())
 }
 
 // updateServiceGauges sets the gauges of each service: its usable leaves, the calls open to them, the factor of the
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -167,7 +167,7 @@
 	}
 	n.balancer.SetServices(services)
 	m := matcher.New(c)
-	n.unregisterRemovedMetrics(n.matcher.Swap(m), m)
+	n.pruneMetrics(n.matcher.Swap(m), m)
 	n.config.Logger.Info("configuration in force", "config_version", c.Version, "revision", d.Revision,
 		"routes", len(c.Routes), "services", len(c.Services), "bytes", len(d.Data),
 		"previous_confirmed_ago", n.config.Clock.Since(confirmedBefore))
