Pull whole documents when a patch does not fit

Cause: two nodes that hold different content under the same revision, such as after the store was restored from a copy, fail with each patch between them: its digest differs. Each further pull asked for a patch again.

Fix: after such a failure the node asks the same peer at once for whole documents. If its base has only changed meanwhile (ErrBaseMissing), it waits for the next notice as before.

Evidence: TestChangeArrivesWholeIfPatchDoesNotFit fails without the fix (the node stays at revision 1).

--- a/internal/records/gossiper/pull.go
+++ b/internal/records/gossiper/pull.go
@@ -6,11 +6,13 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/records/joiner"
+	"github.com/magnoliastep/magnoliastep/internal/records/patcher"
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
 )
 
@@ -45,7 +47,7 @@
 		return nil
 	}
 	defer g.endPull(address)
-	partial := g.takePartial()
+	partial := g.takePartial(g.config.Patcher.Held())
 	transfer := Transfer{}
 	startedAt := g.config.Clock.Now()
 	for {
@@ -64,6 +66,11 @@
 			continue
 		}
 		documents, err := g.decodeDocuments(answer)
+		if err != nil && len(partial.pull.GetHeld()) > 0 && !errors.Is(err, patcher.ErrBaseMissing) {
+			g.config.Logger.Warn("patch does not fit; whole documents are pulled", "peer_address", address, "error", err)
+			partial = g.takePartial(nil)
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -95,8 +102,9 @@
 }
 
 // takePartial returns the interrupted answer if this node's documents are still those of its pull, or else a new one.
-func (g *Gossiper) takePartial() *partialAnswer {
-	pull := &pb.DocumentPull{Positions: g.positions(), Held: g.config.Patcher.Held()}
+// held are the documents of which patches are to be sent.
+func (g *Gossiper) takePartial(held []*pb.HeldDocument) *partialAnswer {
+	pull := &pb.DocumentPull{Positions: g.positions(), Held: held}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	p := g.partial
--- a/internal/records/gossiper/slow_links_test.go
+++ b/internal/records/gossiper/slow_links_test.go
@@ -187,6 +187,29 @@
 	})
 }
 
+// Guards against a node that never gets a change because it holds other content under the revision of the patch.
+func TestChangeArrivesWholeIfPatchDoesNotFit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 2)
+		f.isolated.Store("node-1", true)
+		for i, name := range f.names {
+			c := newConfiguration(100, rand.New(rand.NewPCG(uint64(i), 2)))
+			f.replica[name].ApplyList(kind, []replicator.Document{c.document(1)}, 1, time.Now())
+		}
+		f.isolated.Delete("node-1")
+		changed := newConfiguration(100, rand.New(rand.NewPCG(0, 2)))
+		changed[50] = newRecord(rand.New(rand.NewPCG(3, 2)))
+		f.replica["node-0"].ApplyList(kind, []replicator.Document{changed.document(2)}, 2, time.Now())
+		f.gossiper["node-0"].Announce()
+		time.Sleep(time.Second)
+		is.Equal(f.replica["node-1"].Documents(kind), []replicator.Document{changed.document(2)})
+		cancel()
+		time.Sleep(time.Minute) // lets the goroutines end
+	})
+}
+
 // Guards against a node that does not know that it is behind when it can't get what others announce.
 func TestNodeKnowsSinceWhenItIsBehind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
