Close no connection of which a request is being read

Cause, by the code: when the idle time of a connection ends, the reaper closes it unless the HTTP server has called it active. The server does so only after it has read the whole header. A node that got no processor for 100 ms (it was activating a configuration of 917 kB) finds the request and the end of the idle time at the same moment.

Fix: a connection passes its reads on to the reaper. After the first byte of a request it is not closed before the idle time has passed once more; once the reaper has decided to close, reads return nothing, so a request that crosses the end of the connection does not run.

Evidence: TestConnectionIsNotClosedOnceRequestBegins fails with the old rule (write on a closed pipe); TestConnectionWithUnfinishedRequestIsClosedAfterSecondTimeout bounds what a single byte can hold.

--- a/internal/discovery/reaper/reaper_test.go
+++ b/internal/discovery/reaper/reaper_test.go
@@ -1,6 +1,7 @@
 package reaper_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -23,6 +24,60 @@
 	return nil
 }
 
+// fakeListener accepts one end of a pipe.
+type fakeListener struct {
+	net.Listener
+	accepted net.Conn
+}
+
+func (l *fakeListener) Accept() (net.Conn, error) { return l.accepted, nil }
+
+// idleConnection returns both ends of a connection that has become idle at the reaper's server.
+func idleConnection(is *is.I, r *reaper.Reaper) (caller, accepted net.Conn) {
+	caller, end := net.Pipe()
+	accepted, err := r.Listener(&fakeListener{accepted: end}).Accept()
+	is.NoErr(err)
+	r.Observe(accepted, http.StateIdle)
+	return caller, accepted
+}
+
+// Guards against the loss of a request of which the server has read the first bytes when the idle time ends.
+func TestConnectionIsNotClosedOnceRequestBegins(t *testing.T) {
+	is := is.New(t)
+	clock := quartz.NewMock(t)
+	r := reaper.New(reaper.Config{Timeout: func() time.Duration { return time.Second }, Clock: clock})
+	caller, accepted := idleConnection(is, r)
+	go func() { _, _ = caller.Write([]byte("GET ")) }()
+	b := make([]byte, 16)
+	_, err := accepted.Read(b)
+	is.NoErr(err)
+	clock.Advance(time.Second).MustWait(t.Context()) // the server has not called the connection active yet
+	go func() { _, _ = caller.Write([]byte("/ HTTP/1.1")) }()
+	n, err := accepted.Read(b)
+	is.NoErr(err)
+	is.Equal(string(b[:n]), "/ HTTP/1.1")
+	r.Observe(accepted, http.StateActive)
+	clock.Advance(time.Second).MustWait(t.Context())
+	go func() { _, _ = caller.Read(b) }()
+	_, err = accepted.Write([]byte("HTTP/1.1 200 OK"))
+	is.NoErr(err)
+}
+
+// Guards against a connection that stays open for ever after a byte that no request follows.
+func TestConnectionWithUnfinishedRequestIsClosedAfterSecondTimeout(t *testing.T) {
+	is := is.New(t)
+	clock := quartz.NewMock(t)
+	r := reaper.New(reaper.Config{Timeout: func() time.Duration { return time.Second }, Clock: clock})
+	caller, accepted := idleConnection(is, r)
+	go func() { _, _ = caller.Write([]byte("G")) }()
+	_, err := accepted.Read(make([]byte, 1))
+	is.NoErr(err)
+	clock.Advance(time.Second).MustWait(t.Context())
+	clock.Advance(time.Second).MustWait(t.Context())
+	_, err = caller.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
 func TestReaperClosesConnectionAfterTimeout(t *testing.T) {
 	is := is.New(t)
 	clock, timeout := quartz.NewMock(t), 15*time.Second
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/coder/quartz"
 	"golang.org/x/sync/semaphore"
 
+	"github.com/magnoliastep/magnoliastep/internal/discovery/reaper"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/selector"
 	"github.com/magnoliastep/magnoliastep/internal/forward/activator"
 	"github.com/magnoliastep/magnoliastep/internal/forward/budgeter"
@@ -128,6 +129,7 @@
 		patcher    *patcher.Patcher
 		elector    *elector.Elector
 		activator  *activator.Activator
+		reaper     *reaper.Reaper
 		gossiper   *gossiper.Gossiper
 		messenger  *messenger.Messenger
 		prober     *prober.Prober
@@ -154,6 +156,7 @@
 		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
 		FallbackJitter: rand.N(maxFallbackReaderJitter), //nolint:gosec // spreads load only
 	})
+	n.reaper = reaper.New(reaper.Config{Timeout: n.idleTimeout, Clock: c.Clock})
 	n.assembleFleet()
 	n.assembleLeaves()
 	n.assembleRecords()
@@ -245,7 +248,7 @@
 	servers := n.servers()
 	for _, s := range servers {
 		go func() {
-			if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			if err := n.serve(background, s); !errors.Is(err, http.ErrServerClosed) {
 				failures <- errors.Wrapf(err, "serve %s", s.Addr)
 			}
 		}()
--- a/internal/node/forwarder/servers.go
+++ b/internal/node/forwarder/servers.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
-	"github.com/magnoliastep/magnoliastep/internal/discovery/reaper"
 	"github.com/magnoliastep/magnoliastep/internal/forward/server"
 )
 
@@ -28,7 +27,7 @@
 func (n *Node) servers() []*http.Server {
 	callers := newServer(n.config.CallerAddress, n.server)
 	callers.IdleTimeout = 0
-	callers.ConnState = reaper.New(reaper.Config{Timeout: n.idleTimeout, Clock: n.config.Clock}).Observe
+	callers.ConnState = n.reaper.Observe
 	callers.ConnContext = func(ctx context.Context, _ net.Conn) context.Context { return server.ConnContext(ctx) }
 	servers := []*http.Server{
 		callers,
@@ -41,6 +40,18 @@
 	return servers
 }
 
+// serve runs a server until it is shut down or fails.
+func (n *Node) serve(ctx context.Context, s *http.Server) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Addr)
+	if err != nil {
+		return err
+	}
+	if s.Addr == n.config.CallerAddress {
+		l = n.reaper.Listener(l)
+	}
+	return s.Serve(l)
+}
+
 // idleTimeout returns how long a caller's connection may stay idle.
 func (n *Node) idleTimeout() time.Duration {
 	if m := n.matcher.Load(); m != nil && m.Limits().IdleTimeout > 0 {
