List all fields in stepctl diff, whatever the order of a message's fields

What users saw: stepctl diff left out fields of an object, or printed the object's name alone.

Cause: Break, returned for a duration, ends not only the duration's own fields but also the remaining fields of the object around it. The protobuf library swaps two fields of a message's order in half of all programs, by a hash of the program's own file, so that nobody relies on the order. In programs where lateness comes after full_worth_until the changed lateness was left out.

TestDiffListsAllChangedDurations fails with the old code under every order: of two durations only the first was listed.

The fields of a duration are skipped by looking at the value around them instead.

--- a/internal/command/controller/config_file_test.go
+++ b/internal/command/controller/config_file_test.go
@@ -86,6 +86,22 @@
 	is.Equal(output, "")
 }
 
+// TestDiffListsAllChangedDurations fails when a duration ends the listing of the object's other fields.
+func TestDiffListsAllChangedDurations(t *testing.T) {
+	is := is.New(t)
+	startOperatorServer(t)
+	run("", "apply", "-f", demoFile, "--reason", "t")
+	text, err := os.ReadFile(demoFile)
+	is.NoErr(err)
+	changed := strings.NewReplacer(`"lateness": "3s"`, `"lateness": "4s"`,
+		`"full_worth_until": "1s"`, `"full_worth_until": "2s"`, `"worth": 20`, `"worth": 30`).Replace(string(text))
+	code, output, _ := run(changed, "diff", "-f", "-")
+	is.Equal(code, 0)
+	_, fields, _ := strings.Cut(output, "\n")
+	is.Equal(fields, "- full_worth_until: \"1s\"\n+ full_worth_until: \"2s\"\n"+
+		"- lateness: \"3s\"\n+ lateness: \"4s\"\n- worth: 20\n+ worth: 30\n")
+}
+
 // TestApplyRejectsInvalidFileAsWhole fails when apply sends the valid objects of a file before it finds an
 // invalid one.
 func TestApplyRejectsInvalidFileAsWhole(t *testing.T) {
--- a/internal/command/controller/diff.go
+++ b/internal/command/controller/diff.go
@@ -99,24 +99,30 @@
 		return fields, nil
 	}
 	err := protorange.Range(specOf(o).ProtoReflect(), func(p protopath.Values) error {
+		if isWellKnown(p.Index(-2).Value) {
+			return nil // part of a value that is listed as a whole
+		}
 		last := p.Index(-1)
 		switch value := last.Value.Interface().(type) {
 		case protoreflect.Message:
-			if !strings.HasPrefix(string(value.Descriptor().FullName()), "google.protobuf.") {
-				return nil
+			if isWellKnown(last.Value) {
+				fields[pathText(p)] = strings.TrimSpace(protojson.Format(value.Interface()))
 			}
-			fields[pathText(p)] = strings.TrimSpace(protojson.Format(value.Interface()))
-			return protorange.Break
 		case protoreflect.List, protoreflect.Map:
-			return nil
 		default:
 			fields[pathText(p)] = last.Value.String()
-			return nil
 		}
+		return nil
 	})
 	return fields, errors.Wrap(err, "list fields")
 }
 
+// isWellKnown reports whether the value is a message of protobuf's own types, such as a duration.
+func isWellKnown(v protoreflect.Value) bool {
+	m, ok := v.Interface().(protoreflect.Message)
+	return ok && strings.HasPrefix(string(m.Descriptor().FullName()), "google.protobuf.")
+}
+
 // pathText returns the field's path within the spec, for example leaves[0].slots.
 func pathText(p protopath.Values) string {
 	text := p.Path[2:].String()
