Keep a waiting configuration when another document of its kind changes

What callers would see: 404 for routes of the newest configuration, until the next change.

Cause: the activator kept one waiting document. Any other document of the kind that changed before the configuration's turn took its place, and the configuration of that version was never put in force; before the activator each document was activated on its own.

Fix: only an older version of the same document is replaced.

Evidence: TestOtherDocumentDoesNotReplaceVersionThatWaits fails with the old code ("other" alone is activated).

--- a/internal/forward/activator/activator.go
+++ b/internal/forward/activator/activator.go
@@ -1,10 +1,11 @@
 // Package activator puts the newest configuration in force. It does so in a goroutine of its own, so that decoding a
-// large configuration delays neither its way to other nodes nor the answers to their pulls. Versions that a newer one
-// has surpassed before their turn are skipped.
+// large configuration delays neither its way to other nodes nor the answers to their pulls. Versions of a document
+// that a newer one has surpassed before their turn are skipped.
 package activator
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,8 +28,8 @@
 		// wakeUps holds an item while a document may wait.
 		wakeUps chan struct{}
 		mutex   sync.Mutex
-		// waiting is the newest document that has been added and whose turn has not come; nil if there is none.
-		waiting *item
+		// waiting has the newest version of each document that has been added and whose turn has not come, oldest first.
+		waiting []*item
 		// active is the document that is being activated; nil if there is none.
 		active *item
 	}
@@ -47,14 +48,15 @@
 	return &Activator{config: c, wakeUps: make(chan struct{}, 1)}
 }
 
-// Add makes Run activate a document instead of any that waits.
+// Add makes Run activate a document instead of any older version of it that waits.
 func (a *Activator) Add(d replicator.Document, confirmedBefore time.Time) {
-	added := &item{d, confirmedBefore, a.config.Clock.Now()}
 	a.mutex.Lock()
-	if a.waiting != nil {
-		added.confirmedBefore, added.since = a.waiting.confirmedBefore, a.waiting.since
+	i := slices.IndexFunc(a.waiting, func(i *item) bool { return i.document.Name == d.Name })
+	if i >= 0 {
+		a.waiting[i].document = d
+	} else {
+		a.waiting = append(a.waiting, &item{d, confirmedBefore, a.config.Clock.Now()})
 	}
-	a.waiting = added
 	a.mutex.Unlock()
 	select {
 	case a.wakeUps <- struct{}{}:
@@ -80,7 +82,11 @@
 func (a *Activator) start() *item {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.active, a.waiting = a.waiting, nil
+	a.active = nil
+	if len(a.waiting) > 0 {
+		a.active = a.waiting[0]
+		a.waiting = slices.Delete(a.waiting, 0, 1)
+	}
 	return a.active
 }
 
@@ -89,10 +95,11 @@
 func (a *Activator) PendingSince() (since time.Time, pending bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	for _, i := range []*item{a.active, a.waiting} {
-		if i != nil {
-			return i.since, true
-		}
+	switch {
+	case a.active != nil:
+		return a.active.since, true
+	case len(a.waiting) > 0:
+		return a.waiting[0].since, true
 	}
 	return time.Time{}, false
 }
--- a/internal/forward/activator/activator_test.go
+++ b/internal/forward/activator/activator_test.go
@@ -62,3 +62,22 @@
 		is.Equal(since, startedAt)
 	})
 }
+
+// Guards against a version of the configuration that is dropped because another document of its kind changes after it.
+func TestOtherDocumentDoesNotReplaceVersionThatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var activated []string
+		a := activator.New(activator.Config{Clock: quartz.NewReal(), Activate: func(d replicator.Document, _ time.Time) {
+			activated = append(activated, d.Name)
+		}})
+		a.Add(replicator.Document{Name: "main", Revision: 1}, time.Time{})
+		a.Add(replicator.Document{Name: "other", Revision: 2}, time.Time{})
+		go a.Run(ctx)
+		synctest.Wait()
+		is.Equal(activated, []string{"main", "other"})
+		cancel()
+		synctest.Wait()
+	})
+}
