Test that a thousand new leaves reach all nodes in time

Looking for the cause of the incident elsewhere: entries of leaves that arrive all at once over links of 20 Mb/s.

--- a/internal/records/gossiper/slow_links_test.go
+++ b/internal/records/gossiper/slow_links_test.go
@@ -164,6 +164,41 @@
 	}
 }
 
+// Guards against entries of many new leaves that congest the links of all nodes, or change too often to arrive.
+func TestThousandNewLeavesReachAllNodesInTime(t *testing.T) {
+	const leaves, batch, nodes = 1000, 50, 300
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, nodes)
+		f.links = &slowLinks{links: map[string]*slowLink{}}
+		random := rand.New(rand.NewPCG(1, 2))
+		f.applyFromStore(1)
+		time.Sleep(time.Second)
+		reader := f.replica[f.names[0]]
+		for revision := int64(2); revision < 2+leaves; revision += batch {
+			documents := make([]replicator.Document, batch)
+			for i := range documents {
+				documents[i] = replicator.Document{
+					Kind: kind, Name: fmt.Sprintf("i-%x", random.Uint64()), Revision: revision + int64(i),
+					Data: bytes.Join([][]byte{newRecord(random), newRecord(random)}, nil),
+				}
+			}
+			reader.ApplyChanges(kind, revision-1, documents, revision+batch-1, time.Now())
+			f.gossiper[f.names[0]].Announce()
+			time.Sleep(150 * time.Millisecond)
+		}
+		appliedAt := time.Now()
+		for time.Since(appliedAt) < 10*spreadTime && f.countNodesAt(leaves+1) < nodes {
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Logf("last node %v after the last batch", time.Since(appliedAt))
+		is.True(time.Since(appliedAt) < spreadTime)
+		cancel()
+		time.Sleep(time.Hour) // lets the goroutines and all frames under way end
+	})
+}
+
 // Guards against a node that takes an old version for current because the notice that confirms it was long on its way.
 func TestDelayedNoticeDoesNotMakeOldDocumentsCurrent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
