--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -109,14 +109,17 @@
 
 func (v *runCommand) nodeConfig(s platform.Settings, logger *slog.Logger) forwarder.Config {
 	set := metrics.NewSet()
+	clock := timekeeper.New(timekeeper.Config{Clock: quartz.NewReal()})
 	return forwarder.Config{
 		NodeName: s.NodeName, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
 		CallerAddress: s.CallerAddress, ReadinessAddress: s.ReadinessAddress, PeerAddress: s.PeerAddress,
 		DirectoryAddress: s.DirectoryAddress, MetricsAddress: s.MetricsAddress,
 		CPUShare: s.CPUShare, MemoryBytes: s.MemoryBytes, FirstStart: s.FirstStart, DirectoryTime: s.DirectoryTime,
 		ReloadableSettings: reloadableSettings(s),
-		Store: platform.NewStore(s.StoreAddress, func(call, result string) {
-			set.GetOrCreateCounter(`stepfront_store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
+		Store: platform.NewStore(platform.StoreConfig{
+			Address: s.StoreAddress, Clock: clock, OnCall: func(call, result string) {
+				set.GetOrCreateCounter(`stepfront_store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
+			},
 		}),
 		Decoder: platform.Decoder{},
 		Kinds: forwarder.Kinds{
@@ -128,6 +131,6 @@
 			return platform.DirectoryHandler(n, ready)
 		},
 		ReadinessHandler: platform.ReadinessHandler,
-		Clock:            timekeeper.New(timekeeper.Config{Clock: quartz.NewReal()}), Logger: logger, Metrics: set,
+		Clock:            clock, Logger: logger, Metrics: set,
 	}
 }
