Ask one seed after the other for the first documents; read the store only if none has them

Cause: a starting node asked all three seeds at the same time, and 150 ms later the store as well, whether or not a seed was answering. So up to three compressed copies and an uncompressed one arrived on its link, and half of the transfers between nodes were superseded.

Now records/bootstrapper asks one seed, and the next one when no part of an answer has come for 60 ms. The store is read if no seed has answered for 150 ms as before, but while seeds answer only after 0.4 s of silence or 0.8 s in all.

--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -93,9 +93,14 @@
 	for _, name := range linker.ChoosePeers(names, n.config.NodeName) {
 		linked = append(linked, addresses[name])
 	}
-	swap := func(i, j int) { linked[i], linked[j] = linked[j], linked[i] }
-	rand.Shuffle(len(linked), swap) //nolint:gosec // spreads load only
-	return linked
+	return shuffle(linked)
+}
+
+// shuffle puts addresses in random order and returns them.
+func shuffle(addresses []string) []string {
+	swap := func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] }
+	rand.Shuffle(len(addresses), swap) //nolint:gosec // spreads load only
+	return addresses
 }
 
 // currentFleet returns the state derived from the current view. The state is cached until the view changes, at most for
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/forward/server"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
+	"github.com/magnoliastep/magnoliastep/internal/records/bootstrapper"
 	"github.com/magnoliastep/magnoliastep/internal/records/elector"
 	"github.com/magnoliastep/magnoliastep/internal/records/gossiper"
 	"github.com/magnoliastep/magnoliastep/internal/records/patcher"
@@ -131,14 +132,16 @@
 		activator  *activator.Activator
 		reaper     *reaper.Reaper
 		gossiper   *gossiper.Gossiper
-		messenger  *messenger.Messenger
-		prober     *prober.Prober
-		balancer   *balancer.Balancer
-		enroller   *enroller.Enroller
-		gatherer   *gatherer.Gatherer
-		server     *server.Server
-		selector   *selector.Selector
-		mutex      sync.Mutex
+		// bootstrapper brings this node its first documents.
+		bootstrapper *bootstrapper.Bootstrapper
+		messenger    *messenger.Messenger
+		prober       *prober.Prober
+		balancer     *balancer.Balancer
+		enroller     *enroller.Enroller
+		gatherer     *gatherer.Gatherer
+		server       *server.Server
+		selector     *selector.Selector
+		mutex        sync.Mutex
 		// evacuatedZones is the set of zones that are out of service.
 		evacuatedZones map[string]bool
 		// helpers is the number of further serving nodes that this node asks for.
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/forward/activator"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
 	"github.com/magnoliastep/magnoliastep/internal/forward/sanitizer"
+	"github.com/magnoliastep/magnoliastep/internal/records/bootstrapper"
 	"github.com/magnoliastep/magnoliastep/internal/records/elector"
 	"github.com/magnoliastep/magnoliastep/internal/records/gossiper"
 	"github.com/magnoliastep/magnoliastep/internal/records/patcher"
@@ -32,15 +33,8 @@
 	registerDelay = 3 * time.Second
 	// maxFallbackReaderJitter bounds the random delay after which nodes that do not rank as readers read the store.
 	maxFallbackReaderJitter = 20 * time.Second
-	// seedWait is how long a starting node that is not a seed waits for the documents of the seeds before it reads the
-	// store itself.
-	seedWait = 150 * time.Millisecond
-	// firstStartSeedWait replaces seedWait at the first start of all nodes.
-	firstStartSeedWait = 2 * time.Second
 	// joinPollPeriod is the time between two checks whether the initial documents have arrived.
 	joinPollPeriod = 20 * time.Millisecond
-	// seedPullPeriod is the time between two pulls from the seeds.
-	seedPullPeriod = 300 * time.Millisecond
 	// maxConfigurationAgeShare is how old the last confirmation of the configuration may be, as a share of the time
 	// within which a new one must be in force.
 	maxConfigurationAgeShare = 0.8
@@ -64,6 +58,10 @@
 		Clock:          c.Clock, Logger: c.Logger,
 		OnDocuments: n.observeTransfer,
 	})
+	n.bootstrapper = bootstrapper.New(bootstrapper.Config{
+		Seeds: func() []string { return shuffle(n.otherSeeds()) }, IsSeed: n.isSeed, FirstStart: c.FirstStart,
+		Puller: n.gossiper, Complete: n.hasInitialDocuments, Clock: c.Clock, Logger: c.Logger,
+	})
 	for _, k := range kinds {
 		wait := watchWait
 		if k == c.Kinds.Evacuations {
@@ -80,11 +78,7 @@
 func (n *Node) shouldReadStore(kind string, wait time.Duration) bool {
 	position := n.replicator.Position(kind)
 	if position.Revision == 0 {
-		delay := seedWait
-		if n.config.FirstStart {
-			delay = firstStartSeedWait
-		}
-		return n.isSeed() || n.config.Clock.Since(n.startedAt) > delay
+		return n.bootstrapper.ShouldReadStore()
 	}
 	return n.elector.ShouldRead(elector.Situation{
 		Kind: kind, Ranker: n.currentFleet().ranker, ConfirmedAgo: n.config.Clock.Since(position.ConfirmedAt),
@@ -230,15 +224,11 @@
 // join waits for the initial documents from the store or from other nodes, then joins the view of the other nodes.
 func (n *Node) join(ctx context.Context) {
 	go n.discoverNodes(ctx)
-	var pulledAt time.Time
+	go n.bootstrapper.Run(ctx)
 	for ; !n.hasInitialDocuments(); sleeper.Sleep(ctx, n.config.Clock, joinPollPeriod) {
 		if ctx.Err() != nil {
 			return
 		}
-		if now := n.config.Clock.Now(); now.Sub(pulledAt) > seedPullPeriod {
-			pulledAt = now
-			n.pullFromSeeds(ctx)
-		}
 	}
 	n.ready.Store(true)
 	n.config.Logger.Info("node is ready", "after", n.config.Clock.Since(n.startedAt))
@@ -246,17 +236,6 @@
 	n.prober.Run(ctx)
 }
 
-// pullFromSeeds pulls documents from all other seeds concurrently.
-func (n *Node) pullFromSeeds(ctx context.Context) {
-	for _, seed := range n.otherSeeds() {
-		go func() {
-			if err := n.gossiper.Pull(ctx, seed); err != nil {
-				n.config.Logger.Info("seed did not answer", "peer_address", seed, "error", err)
-			}
-		}()
-	}
-}
-
 // hasInitialDocuments reports whether the node has the configuration and the leaves.
 func (n *Node) hasInitialDocuments() bool {
 	return n.matcher.Load() != nil && n.replicator.Position(n.config.Kinds.Leaves).Revision > 0
--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -115,6 +115,8 @@
 		partial *partialAnswer
 		// chunkTimeouts has, by peer address, the time limits of pulls that are above minChunkTimeout.
 		chunkTimeouts map[string]time.Duration
+		// answeredAt is when a node last answered a pull; zero before the first answer.
+		answeredAt time.Time
 	}
 
 	// notice is a received notice.
--- a/internal/records/gossiper/pull.go
+++ b/internal/records/gossiper/pull.go
@@ -94,6 +94,7 @@
 		&pb.Frame{Body: &pb.Frame_DocumentPull{DocumentPull: pull}})
 	switch {
 	case err == nil:
+		g.recordAnswer()
 		g.setChunkTimeout(address, chunkTimeoutFactor*g.config.Clock.Since(requestedAt))
 	case callContext.Err() != nil:
 		g.setChunkTimeout(address, 2*timeout)
@@ -204,6 +205,19 @@
 	return byKind
 }
 
+// AnsweredAt returns when a node last answered a pull, or sent a chunk of its answer; zero before the first one.
+func (g *Gossiper) AnsweredAt() time.Time {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.answeredAt
+}
+
+func (g *Gossiper) recordAnswer() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.answeredAt = g.config.Clock.Now()
+}
+
 func (g *Gossiper) startPull(address string) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
