List the documents when their changes are too large for one watch

Found by reading, not seen by callers (suspected): the answer to a watch has every revision since the last one, each with the whole document. It was cut off at 8 MB, could not be decoded, and was asked for again, with more changes each time: a reader that missed ten changes of a 1 MB configuration, because the store turned it away meanwhile, would have stayed behind until the store dropped its history.

--- a/internal/records/watcher/watcher.go
+++ b/internal/records/watcher/watcher.go
@@ -1,6 +1,7 @@
 // Package watcher follows the documents of one kind in the platform's store: it lists them once, then watches for
 // changes, and applies both to the replica. It retries with backoff while the store is down or slow, and lists again
-// when the store has dropped the changes that it would need.
+// when the store has dropped the changes that it would need, or when they are too large: a watch returns all revisions
+// of a document that changed often, a list only the last one.
 package watcher
 
 import (
@@ -29,8 +30,12 @@
 	minWait = 250 * time.Millisecond
 )
 
-// ErrHistoryGone is returned when the store has dropped changes that the watch would have returned.
-var ErrHistoryGone = errors.New("store: history is gone")
+var (
+	// ErrHistoryGone is returned when the store has dropped changes that the watch would have returned.
+	ErrHistoryGone = errors.New("store: history is gone")
+	// ErrChangesTooLarge is returned when the changes that the watch would have returned are too large to be read.
+	ErrChangesTooLarge = errors.New("store: changes are too large")
+)
 
 type (
 	// Store is the part of the platform's store that a Watcher reads.
@@ -38,7 +43,8 @@
 		// List returns all documents of a kind and the revision of the list.
 		List(ctx context.Context, kind string) ([]replicator.Document, int64, error)
 		// Watch returns the changes of a kind after a revision, and the revision up to which they are complete.
-		// It waits for a change, but no longer than the given time, and then returns none.
+		// It waits for a change, but no longer than the given time, and then returns none. The error is
+		// ErrHistoryGone or ErrChangesTooLarge if the documents have to be listed.
 		Watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]replicator.Document, int64, error)
 	}
 
@@ -114,12 +120,15 @@
 	}
 	requestedAt, wait := w.config.Clock.Now(), w.wait()
 	documents, revision, err := w.config.Store.Watch(ctx, w.config.Kind, after, wait)
-	if errors.Is(err, ErrHistoryGone) {
+	switch {
+	case errors.Is(err, ErrHistoryGone):
 		w.config.Logger.Info("store dropped its history", "kind", w.config.Kind, "after", after)
 		w.pauseIfHistoryGoneAgain(ctx)
 		return w.list(ctx)
-	}
-	if err != nil {
+	case errors.Is(err, ErrChangesTooLarge):
+		w.config.Logger.Info("changes are too large; documents are listed", "kind", w.config.Kind, "after", after)
+		return w.list(ctx)
+	case err != nil:
 		return err
 	}
 	w.historyGonePause = 0
--- a/internal/records/watcher/watcher_test.go
+++ b/internal/records/watcher/watcher_test.go
@@ -30,8 +30,10 @@
 	down              bool
 	// answerDelay is how long an answer to a watch is on its way.
 	answerDelay time.Duration
-	lists       int
-	watches     int
+	// maxChanges is how many changes an answer to a watch may hold; 0 is no limit.
+	maxChanges int
+	lists      int
+	watches    int
 }
 
 func (s *store) List(context.Context, string) ([]replicator.Document, int64, error) {
@@ -78,6 +80,9 @@
 				changes = append(changes, d)
 			}
 		}
+		if s.maxChanges > 0 && len(changes) > s.maxChanges {
+			return nil, 0, watcher.ErrChangesTooLarge
+		}
 		return changes, s.revision, nil
 	}
 }
@@ -156,6 +161,28 @@
 	})
 }
 
+// Guards against a node that asks forever for changes which are too large to be read together.
+func TestWatcherListsWhenChangesAreTooLarge(t *testing.T) {
+	is := is.New(t)
+	runWatcher(t, alwaysRead, func(s *store, r *replicator.Replicator) {
+		time.Sleep(100 * time.Millisecond)
+		s.mutex.Lock()
+		s.maxChanges, s.down = 3, true
+		s.mutex.Unlock()
+		for _, name := range []string{"a", "b", "c", "d"} {
+			s.put(name)
+		}
+		time.Sleep(time.Second)
+		s.mutex.Lock()
+		s.down = false
+		s.mutex.Unlock()
+		time.Sleep(2 * time.Second)
+		is.Equal(len(r.Documents(kind)), 4)
+		lists, _ := s.calls()
+		is.Equal(lists, 2)
+	})
+}
+
 // Guards against a load of calls while the store is down, and against a watcher that does not continue afterwards.
 func TestWatcherBacksOffDuringOutage(t *testing.T) {
 	is := is.New(t)
