--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -43,7 +43,7 @@
 func runScenario() int {
 	scenarios := map[string]scenario{
 		"wrong-bytes": wrongBytes, "extra-bytes": extraBytes, "false-promise": falsePromise, "planned-stop": plannedStop,
-		"queue-of-draining-leaf": queueOfDrainingLeaf, "unreadable-entry": unreadableEntry, "route-name": routeName, "cold-leaf": coldLeaf,
+		"queue-of-draining-leaf": queueOfDrainingLeaf, "unreadable-entry": unreadableEntry, "route-name": routeName, "cold-leaf": coldLeaf, "moved-store": movedStore,
 	}
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins SCENARIO RECORD-FILE")
--- a/review/standins/node.go
+++ b/review/standins/node.go
@@ -117,12 +117,20 @@
 
 // restartLater says in the settings that the system does not start for the first time any more.
 func (n *node) restartLater() error {
+	return n.changeSettings(`"Bootstrap": true`, `"Bootstrap": false`)
+}
+
+// changeSettings replaces a text in the settings file of the node.
+func (n *node) changeSettings(before, after string) error {
 	data, err := os.ReadFile(n.settings)
 	if err != nil {
 		return err
 	}
-	data = bytes.Replace(data, []byte(`"Bootstrap": true`), []byte(`"Bootstrap": false`), 1)
-	return os.WriteFile(n.settings, data, 0o600)
+	changed := bytes.Replace(data, []byte(before), []byte(after), 1)
+	if err := os.WriteFile(n.settings+".new", changed, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(n.settings+".new", n.settings)
 }
 
 // start starts the process of the node in the repository root.
--- a/review/standins/scenarios.go
+++ b/review/standins/scenarios.go
@@ -533,3 +533,48 @@
 	e.record.say("%d requests; the cold leaf got up to %d in a second, %v are allowed", len(c.attempts()), most, bound)
 	return float64(most) > bound, nil
 }
+
+// movedStore: the platform's store gets another address, which the settings files state, and each process gets SIGHUP.
+// Then a leaf drains.
+func movedStore(e *environment) (bool, error) {
+	leaves, err := e.startLeaves("farrier-book", 3, 6, 50*time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	routes := []map[string]any{route("r-book", "/book/", nonIdempotent, "farrier-book", 8000, 800)}
+	if err := e.startSystem(routes, []string{"farrier-book"}, leaves); err != nil {
+		return false, err
+	}
+	if e.trouble {
+		former := e.store.address
+		if err := e.store.move(); err != nil {
+			return false, err
+		}
+		e.record.add("the store moves from %s to %s", former, e.store.address)
+		for _, n := range e.nodes {
+			if err := n.changeSettings(former, e.store.address); err != nil {
+				return false, err
+			}
+			n.signal(syscall.SIGHUP)
+		}
+	}
+	time.Sleep(10 * time.Second)
+	leaving := leaves[0]
+	acknowledged := e.store.put("servers", leaving.id, leaving.entry("draining"))
+	e.record.add("store acknowledges that leaf %s is draining", leaving.id)
+	c := &client{record: e.record, host: host}
+	each(200, 40*time.Millisecond, func(i int) {
+		id := fmt.Sprintf("b%06d", i)
+		c.send(e.nodes[i%3].front, id, "POST", "/book/"+id, "stall for "+id, 8*time.Second)
+	})
+	late := 0
+	for _, r := range leaving.allRuns() {
+		if r.arrivedAt.After(acknowledged.Add(drainTime)) {
+			late++
+			e.record.add("DRAIN: %s reached leaf %s %.3f s after the acknowledgement", r.id, leaving.id,
+				r.arrivedAt.Sub(acknowledged).Seconds())
+		}
+	}
+	e.record.say("%d requests, %d reached the leaf later than %v after it was draining", len(c.attempts()), late, drainTime)
+	return late > 0, nil
+}
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -39,6 +39,7 @@
 	// store is a stand-in of the platform's store. It loses nothing and answers at once.
 	store struct {
 		address string
+		server  *http.Server
 		mutex   sync.Mutex
 		changed *sync.Cond
 		rev     int64
@@ -54,10 +55,23 @@
 	}
 	s := &store{address: l.Addr().String(), rev: 100, objects: map[string]map[string]object{}}
 	s.changed = sync.NewCond(&s.mutex)
-	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
+	s.server = &http.Server{Handler: s}
+	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
 
+// move makes the store listen at another address and closes the former one with its connections.
+func (s *store) move() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	former := s.server
+	s.address, s.server = l.Addr().String(), &http.Server{Handler: s}
+	go func() { _ = s.server.Serve(l) }()
+	return former.Close()
+}
+
 // put writes an object for its owner and returns when the store acknowledged it.
 func (s *store) put(kind, name string, spec any) time.Time {
 	data, err := json.Marshal(spec)
