--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"os/signal"
@@ -111,16 +112,32 @@
 	if e.nodeCount > 0 {
 		count = e.nodeCount
 	}
-	if e.nodes, err = newNodes(e.record, e.folder, e.store.address, zones, count, e.staleSeeds); err != nil {
-		return err
-	}
-	for _, n := range e.nodes {
-		if err := n.start(); err != nil {
+	const attempts = 5
+	for attempt := 1; ; attempt++ {
+		if e.nodes, err = newNodes(e.record, e.folder, e.store.address, zones, count, e.staleSeeds); err != nil {
 			return err
 		}
-	}
-	if !awaitReady(e.nodes, 20*time.Second) {
-		return fmt.Errorf("nodes did not become ready")
+		for _, n := range e.nodes {
+			if err := n.start(); err != nil {
+				return err
+			}
+		}
+		if awaitReady(e.nodes, 20*time.Second) {
+			break
+		}
+		portTaken := false
+		for _, n := range e.nodes {
+			n.kill()
+			if data, err := os.ReadFile(n.log); err == nil {
+				e.record.add("end of the log of %s: %s", n.name, data[max(0, len(data)-2000):])
+				portTaken = portTaken || bytes.Contains(data, []byte("address already in use"))
+			}
+			_ = os.Remove(n.log)
+		}
+		// Another program may have taken a port between its choice and the start of the process.
+		if !portTaken || attempt == attempts {
+			return fmt.Errorf("nodes did not become ready")
+		}
 	}
 	time.Sleep(6 * time.Second)
 	e.record.add("all nodes have been ready for 6 s")
--- a/review/standins/node.go
+++ b/review/standins/node.go
@@ -179,6 +179,15 @@
 	}
 }
 
+func (n *node) hasEnded() bool {
+	select {
+	case <-n.exited:
+		return true
+	default:
+		return false
+	}
+}
+
 func (n *node) isReady() bool {
 	c := http.Client{Timeout: 500 * time.Millisecond}
 	r, err := c.Get("http://" + n.ready + "/api/ready")
@@ -189,10 +198,14 @@
 	return r.StatusCode == http.StatusOK
 }
 
+// awaitReady waits until all nodes are ready. It returns false after the timeout, or when a process has ended.
 func awaitReady(nodes []*node, timeout time.Duration) bool {
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, n := range nodes {
+			if n.hasEnded() {
+				return false
+			}
 			if n.isReady() {
 				ready++
 			}
