Planned stop: answer every request before the end of the grace time

Callers saw connections closed without an answer 5.5 s after SIGTERM (LOST), also for requests that may not be repeated.

Cause: a stopping node took requests until 0.7 of its grace time whatever they lasted, and ended the process at 0.92 while they were waiting or running. On the same path, http.Server.Shutdown may close a connection as idle while a request on it is being parsed, which is then passed on.

Idle connections are closed by the reaper, which knows whether a byte of a request has been read.

--- a/internal/discovery/reaper/connection.go
+++ b/internal/discovery/reaper/connection.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// noRequest means that no byte of the next request has been read.
+	// noRequest means that no byte of the first or next request has been read.
 	noRequest requestState = iota
 	// requestBegun means that a byte of a request has been read since the connection was idle.
 	requestBegun
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: c, state: requestBegun}, nil
+	return &connection{Conn: c}, nil
 }
 
 // Read implements net.Conn. After refuseRequest it returns no bytes, also if some have arrived before.
@@ -74,6 +74,18 @@
 	return true
 }
 
+// refuseUnlessBegun makes all further reads fail and returns true, unless a byte has been read since the connection was
+// opened or became idle.
+func (c *connection) refuseUnlessBegun() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.state == requestBegun {
+		return false
+	}
+	c.state = requestRefused
+	return true
+}
+
 // CloseWrite ends the sending direction, for a server that closes a connection on which bytes may still arrive.
 func (c *connection) CloseWrite() error {
 	w, ok := c.Conn.(interface{ CloseWrite() error })
--- a/internal/discovery/reaper/reaper.go
+++ b/internal/discovery/reaper/reaper.go
@@ -25,14 +25,18 @@
 	Reaper struct {
 		config Config
 		mutex  sync.Mutex
-		// timers has one timer for each idle connection.
+		// timers has one timer for each idle connection; nil where there is no timeout.
 		timers map[net.Conn]*quartz.Timer
+		// busy has the connections that are neither closed nor idle, new ones included.
+		busy map[net.Conn]struct{}
+		// draining is set for good by Drain.
+		draining bool
 	}
 )
 
 // New returns a Reaper.
 func New(c Config) *Reaper {
-	return &Reaper{config: c, timers: map[net.Conn]*quartz.Timer{}}
+	return &Reaper{config: c, timers: map[net.Conn]*quartz.Timer{}, busy: map[net.Conn]struct{}{}}
 }
 
 // Listener returns a listener for the server whose connections the Reaper observes. It makes sure that a connection is
@@ -49,14 +53,68 @@
 		timer.Stop()
 		delete(r.timers, c)
 	}
-	if timeout := r.config.Timeout(); state == http.StateIdle && timeout > 0 {
-		if t, tracked := c.(*connection); tracked {
-			t.expectRequest()
-		}
+	switch state {
+	case http.StateNew, http.StateActive:
+		r.busy[c] = struct{}{}
+	case http.StateIdle:
+		delete(r.busy, c)
+		r.observeIdle(c)
+	case http.StateClosed, http.StateHijacked:
+		delete(r.busy, c)
+	}
+}
+
+func (r *Reaper) observeIdle(c net.Conn) {
+	if t, tracked := c.(*connection); tracked {
+		t.expectRequest()
+	}
+	if r.draining {
+		r.drain(c)
+		return
+	}
+	if timeout := r.config.Timeout(); timeout > 0 {
 		r.timers[c] = r.config.Clock.AfterFunc(timeout, func() { r.close(c, timeout) })
+	} else {
+		r.timers[c] = nil
 	}
 }
 
+// Drain closes each idle or new connection now, and each other one when it becomes idle. A connection on which a
+// request has begun to arrive is left open for its answer.
+func (r *Reaper) Drain() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.draining = true
+	for c, timer := range r.timers {
+		if timer != nil {
+			timer.Stop()
+		}
+		delete(r.timers, c)
+		r.drain(c)
+	}
+	for c := range r.busy {
+		r.drain(c)
+	}
+}
+
+// drain closes a connection unless a request has begun to arrive on it.
+func (r *Reaper) drain(c net.Conn) {
+	if t, tracked := c.(*connection); !tracked || !t.refuseUnlessBegun() {
+		r.busy[c] = struct{}{}
+		return
+	}
+	delete(r.busy, c)
+	// The caller sees the closed connection; no other action is possible on an error.
+	_ = c.Close()
+}
+
+// Busy returns the number of connections that are neither closed nor idle.
+func (r *Reaper) Busy() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.busy)
+}
+
 // close closes a connection unless it has become active since its timer expired. One of which a request has begun to
 // arrive has the timeout once more.
 func (r *Reaper) close(c net.Conn, timeout time.Duration) {
--- a/internal/discovery/reaper/reaper_test.go
+++ b/internal/discovery/reaper/reaper_test.go
@@ -94,3 +94,53 @@
 	is.True(!active.closed)
 	is.True(!unlimited.closed)
 }
+
+// Guards against requests that a stopping node has read and passed on although it closes their connections as idle.
+func TestDrainClosesOnlyConnectionsWithoutRequest(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		states []http.ConnState
+		begun  bool
+		kept   bool
+	}{
+		{"idle", []http.ConnState{http.StateNew, http.StateIdle}, false, false},
+		{"idle, request begun", []http.ConnState{http.StateNew, http.StateIdle}, true, true},
+		{"new", []http.ConnState{http.StateNew}, false, false},
+		{"new, request begun", []http.ConnState{http.StateNew}, true, true},
+		{"active", []http.ConnState{http.StateNew, http.StateIdle}, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := reaper.New(reaper.Config{Timeout: func() time.Duration { return 0 }, Clock: quartz.NewMock(t)})
+			caller, end := net.Pipe()
+			accepted, err := r.Listener(&fakeListener{accepted: end}).Accept()
+			is.NoErr(err)
+			for _, s := range c.states {
+				r.Observe(accepted, s)
+			}
+			if c.begun {
+				go func() { _, _ = caller.Write([]byte("GET ")) }()
+				_, err := accepted.Read(make([]byte, 4))
+				is.NoErr(err)
+			}
+			if c.name == "active" {
+				r.Observe(accepted, http.StateActive)
+			}
+			r.Drain()
+			if !c.kept {
+				_, err := caller.Read(make([]byte, 1))
+				is.Equal(err, io.EOF)
+				is.Equal(r.Busy(), 0)
+				return
+			}
+			is.Equal(r.Busy(), 1)
+			go func() { _, _ = caller.Write([]byte("/ HTTP/1.1")) }()
+			_, err = accepted.Read(make([]byte, 10)) // the rest of the request still arrives
+			is.NoErr(err)
+			r.Observe(accepted, http.StateIdle) // the request has been answered
+			_, err = caller.Read(make([]byte, 1))
+			is.Equal(err, io.EOF)
+			is.Equal(r.Busy(), 0)
+		})
+	}
+}
--- a/internal/forward/deferrer/deferrer.go
+++ b/internal/forward/deferrer/deferrer.go
@@ -13,6 +13,8 @@
 	NoConfiguration Reason = iota
 	// NoCapacity means that no leaf could take the request.
 	NoCapacity
+	// NodeStopping means that the node is about to stop. Any other node can take the request.
+	NodeStopping
 )
 
 const (
@@ -20,6 +22,8 @@
 	configurationDelay = 200 * time.Millisecond
 	// capacityDelay is the time after which another leaf may be known or a leaf may have free slots again.
 	capacityDelay = 60 * time.Millisecond
+	// otherNodeDelay spreads the callers that a stopping node refuses together.
+	otherNodeDelay = 10 * time.Millisecond
 	// maxShareOfTimeLeft is the largest part of its remaining time that a caller is told to wait.
 	maxShareOfTimeLeft = 1.0 / 3
 	// delayPerRank is the share by which each rank of the route prolongs the delay, up to maxRank.
@@ -45,8 +49,12 @@
 // callers that are refused together.
 func RetryAfter(r Refusal, random float64) time.Duration {
 	delay := capacityDelay
-	if r.Reason == NoConfiguration {
+	switch r.Reason {
+	case NoConfiguration:
 		delay = configurationDelay
+	case NodeStopping:
+		delay = otherNodeDelay
+	case NoCapacity:
 	}
 	rank := min(max(r.Priority, 0), maxRank)
 	delay = time.Duration(float64(delay) * (1 + delayPerRank*float64(rank)))
--- a/internal/forward/deferrer/deferrer_test.go
+++ b/internal/forward/deferrer/deferrer_test.go
@@ -23,6 +23,7 @@
 			deferrer.Refusal{Reason: deferrer.NoConfiguration, TimeLeft: 2 * time.Second},
 			200 * ms, 400 * ms,
 		},
+		{"node stopping", deferrer.Refusal{Reason: deferrer.NodeStopping, TimeLeft: time.Second}, 10 * ms, 20 * ms},
 		{"less urgent", deferrer.Refusal{Reason: deferrer.NoCapacity, TimeLeft: time.Second, Priority: 2}, 90 * ms, 180 * ms},
 		{
 			"absurd rank",
--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -75,7 +75,7 @@
 	n.openCalls--
 	n.result.ConnectionWait = max(n.result.ConnectionWait, e.queued)
 	s.attempts[e.attempt].open = false
-	if s.done {
+	if s.done || s.attempts[e.attempt].withdrawn {
 		return
 	}
 	if e.err != nil || e.reply.NotRun || !n.acceptable(e.reply) {
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -99,6 +99,8 @@
 		Withdrawn int
 		// OutOfTime is set when no time was left to send the request.
 		OutOfTime bool
+		// Stopping is set when the request was refused or ended early because this node stops.
+		Stopping bool
 		// ServicesWithoutLeaf has the services without a usable leaf.
 		ServicesWithoutLeaf []string
 	}
@@ -111,12 +113,25 @@
 		budgets map[string]*budgeter.Budgeter
 		// typicalLatency has the moving average of the call latency of each route.
 		typicalLatency map[string]time.Duration
+		// stopping is closed by Stop. endAt is set before, and not changed afterwards.
+		stopping chan struct{}
+		endAt    time.Time
 	}
 )
 
 // New returns a Gatherer.
 func New(c Config) *Gatherer {
-	return &Gatherer{config: c, budgets: map[string]*budgeter.Budgeter{}, typicalLatency: map[string]time.Duration{}}
+	return &Gatherer{
+		config: c, budgets: map[string]*budgeter.Budgeter{}, typicalLatency: map[string]time.Duration{},
+		stopping: make(chan struct{}),
+	}
+}
+
+// Stop makes all requests end by a time, with the answer that is possible then. Requests that can't be expected to be
+// answered by that time are refused from now on. Stop must be called only once.
+func (g *Gatherer) Stop(endAt time.Time) {
+	g.endAt = endAt
+	close(g.stopping)
 }
 
 // Run runs one request until it is answered, has failed or its caller has disconnected.
@@ -132,6 +147,14 @@
 	run := newRun(g, r)
 	run.result.ServicesWithoutLeaf = noLeaf
 	defer run.finish()
+	select {
+	case <-g.stopping:
+		run.beginStop()
+		if !time.Now().Before(run.sendUntil) {
+			return Result{Outcome: OutcomeNotRun, Stopping: true}
+		}
+	default:
+	}
 	run.start()
 	return run.loop(ctx)
 }
--- a/internal/forward/gatherer/gatherer_test.go
+++ b/internal/forward/gatherer/gatherer_test.go
@@ -71,16 +71,7 @@
 		Random: func() float64 { return 0 }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	for key, h := range leaves {
-		service, zone, _ := strings.Cut(key, "/")
-		count := &atomic.Int64{}
-		f.calls[key] = count
-		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			count.Add(1)
-			h(w, r)
-		}))
-		t.Cleanup(s.Close)
-		f.pool.Put(balancer.Entry{ID: key, Service: service, Address: s.Listener.Addr().String(), Zone: zone, Slots: 4},
-			time.Now())
+		f.addLeaf(t, key, h)
 	}
 	f.gatherer = gatherer.New(gatherer.Config{
 		Pool: f.pool, Budget: func() budgeter.Config {
@@ -93,6 +84,30 @@
 	return f
 }
 
+// addLeaf starts a leaf. The key is service/zone.
+func (f *fixture) addLeaf(t *testing.T, key string, h http.HandlerFunc) {
+	service, zone, _ := strings.Cut(key, "/")
+	count := &atomic.Int64{}
+	f.calls[key] = count
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		count.Add(1)
+		h(w, r)
+	}))
+	t.Cleanup(s.Close)
+	f.pool.Put(balancer.Entry{ID: key, Service: service, Address: s.Listener.Addr().String(), Zone: zone, Slots: 4},
+		time.Now())
+}
+
+// waiting returns the number of calls that wait for a leaf of service s.
+func (f *fixture) waiting(zone string) int {
+	for _, l := range f.pool.UsableLeaves("s") {
+		if l.Entry().Zone == zone {
+			return l.Exchanger().Waiting()
+		}
+	}
+	return 0
+}
+
 func (f *fixture) run(ctx context.Context, r matcher.Route) gatherer.Result {
 	services := r.Shards
 	if len(services) == 0 {
--- a/internal/forward/gatherer/run.go
+++ b/internal/forward/gatherer/run.go
@@ -38,6 +38,10 @@
 		// typicalLatency is the typical call latency of the route at the start of the request.
 		typicalLatency time.Duration
 		result         Result
+		// stopping is closed when this node stops; nil once that has been handled.
+		stopping <-chan struct{}
+		// sendUntil is until when the request may be sent for the first time if this node stops.
+		sendUntil time.Time
 	}
 
 	// shard is the state of one shard of the request.
@@ -67,6 +71,8 @@
 		leaf *balancer.Leaf
 		open bool
 		send *sendState
+		// withdrawn is set once the call has been withdrawn and does not count as a possible run any more.
+		withdrawn bool
 	}
 
 	// event is the end of one call.
@@ -86,7 +92,7 @@
 	n := &run{
 		gatherer: g, request: r, callContext: callContext, cancelCalls: cancelCalls, sendContext: sendContext,
 		stopSending: stopSending, events: make(chan event, len(r.Services)*maxAttemptsPerShard),
-		shards: make([]shard, len(r.Services)), typicalLatency: g.typicalLatencyOf(r.Route),
+		shards: make([]shard, len(r.Services)), typicalLatency: g.typicalLatencyOf(r.Route), stopping: g.stopping,
 	}
 	for i, s := range r.Services {
 		n.shards[i] = shard{service: s, budget: g.Budget(s)}
@@ -109,6 +115,9 @@
 	defer timer.Stop()
 	for {
 		now := time.Now()
+		if n.refuseUnsent(now) {
+			return n.conclude(decider.GiveUp, now)
+		}
 		n.sendDue(now)
 		decision, decideAt := decider.Decide(n.state(now))
 		if decision != decider.Wait {
@@ -119,6 +128,8 @@
 		case e := <-n.events:
 			n.handle(e)
 		case <-timer.C:
+		case <-n.stopping:
+			n.beginStop()
 		case <-ctx.Done():
 			n.result.Outcome = OutcomeCallerGone
 			return n.result
@@ -155,6 +166,9 @@
 			next = min(next, s.nextSendAt.Sub(now))
 		}
 	}
+	if n.stopping == nil && now.Before(n.sendUntil) {
+		next = min(next, n.sendUntil.Sub(now))
+	}
 	return max(next, time.Millisecond)
 }
 
@@ -187,8 +201,10 @@
 func (n *run) withdrawUnsent() {
 	for i := range n.shards {
 		s := &n.shards[i]
-		for _, a := range s.attempts {
+		for j := range s.attempts {
+			a := &s.attempts[j]
 			if a.open && a.send.withdraw() {
+				a.withdrawn = true
 				s.possibleRuns--
 				n.result.Withdrawn++
 			}
--- a/internal/forward/gatherer/send_state.go
+++ b/internal/forward/gatherer/send_state.go
@@ -19,3 +19,6 @@
 
 // withdraw reports whether the call has not been sent and will not be.
 func (s *sendState) withdraw() bool { return s.state.CompareAndSwap(sendPending, sendWithdrawn) }
+
+// pending reports whether the call has been neither sent nor withdrawn.
+func (s *sendState) pending() bool { return s.state.Load() == sendPending }
--- a/internal/forward/server/answer.go
+++ b/internal/forward/server/answer.go
@@ -58,9 +58,9 @@
 		}
 		x.recordSuccess(r)
 	case gatherer.OutcomeNotRun:
-		x.refuse(notRunOutcome(r), deferrer.NoCapacity, r)
+		x.refuse(notRunOutcome(r), notRunReason(r), r)
 	case gatherer.OutcomeTimeout:
-		x.fail(http.StatusGatewayTimeout, "timeout", r)
+		x.fail(http.StatusGatewayTimeout, timeoutOutcome(r), r)
 	case gatherer.OutcomeCallerGone:
 		x.recordOutcome("caller_gone", 0, r)
 	case gatherer.OutcomeFailed:
@@ -123,7 +123,11 @@
 	x.writeBody(r.Status, r.Body)
 }
 
+// writeBody writes the answer. A node that is about to stop closes the connection after it.
 func (x *exchange) writeBody(status int, body []byte) {
+	if x.server.config.Draining() {
+		x.writer.Header().Set("Connection", "close")
+	}
 	if x.request.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified {
 		x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
@@ -148,6 +152,8 @@
 	switch {
 	case r.OutOfTime:
 		return "out_of_time"
+	case r.Stopping:
+		return "node_stopping"
 	case r.Withdrawn > 0:
 		return "no_capacity"
 	default:
@@ -155,6 +161,22 @@
 	}
 }
 
+// notRunReason returns what a request lacked that no leaf has run.
+func notRunReason(r gatherer.Result) deferrer.Reason {
+	if r.Stopping {
+		return deferrer.NodeStopping
+	}
+	return deferrer.NoCapacity
+}
+
+// timeoutOutcome names why a request that may have run was not answered in time.
+func timeoutOutcome(r gatherer.Result) string {
+	if r.Stopping {
+		return "cut_by_stop"
+	}
+	return "timeout"
+}
+
 // refuse answers that the request has not run, and states when to retry.
 func (x *exchange) refuse(outcome string, reason deferrer.Reason, r gatherer.Result) {
 	refusal := deferrer.Refusal{Reason: reason, TimeLeft: x.timeLeft() - time.Since(x.arrivedAt)}
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -114,9 +114,6 @@
 	x := &exchange{
 		server: s, writer: w, request: r, id: r.Header.Get(s.config.HeaderNames.RequestID), arrivedAt: time.Now(),
 	}
-	if s.config.Draining() {
-		w.Header().Set("Connection", "close")
-	}
 	if x.id == "" {
 		x.fail(http.StatusBadRequest, "no_request_id", gatherer.Result{})
 		return
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -141,7 +141,9 @@
 		gatherer     *gatherer.Gatherer
 		server       *server.Server
 		selector     *selector.Selector
-		mutex        sync.Mutex
+		// callerListener accepts the connections of callers; nil until it has been opened.
+		callerListener atomic.Pointer[net.Listener]
+		mutex          sync.Mutex
 		// evacuatedZones is the set of zones that are out of service.
 		evacuatedZones map[string]bool
 		// helpers is the number of further serving nodes that this node asks for.
--- a/internal/node/forwarder/servers.go
+++ b/internal/node/forwarder/servers.go
@@ -19,8 +19,12 @@
 	maxHeaderBytes = 64 << 10
 	// stopServeShare is the share of StopTime during which a stopping node still serves callers that have its address.
 	stopServeShare = 0.7
-	// stopFinishShare is the share of StopTime after which requests in progress must have ended.
-	stopFinishShare = 0.92
+	// stopAnswerShare is the share of StopTime after which all requests are answered, if need be with a failure.
+	stopAnswerShare = 0.9
+	// stopFinishShare is the share of StopTime after which the process ends even if answers are still being written.
+	stopFinishShare = 0.97
+	// stopPollPeriod is the time between two checks whether callers' connections are still in use.
+	stopPollPeriod = 5 * time.Millisecond
 )
 
 // servers returns the servers of the node; the first one serves callers.
@@ -47,6 +51,7 @@
 		return err
 	}
 	if s.Addr == n.config.CallerAddress {
+		n.callerListener.Store(&l)
 		l = n.reaper.Listener(l)
 	}
 	return s.Serve(l)
@@ -72,22 +77,44 @@
 	return n.ready.Load() && !n.stopping.Load()
 }
 
-// stop keeps serving until callers have learned that this node is leaving, then shuts the servers down and lets
+// stop keeps serving until callers have learned that this node is leaving, then takes no further connections and lets
 // requests in progress end.
 func (n *Node) stop(ctx context.Context, servers []*http.Server) {
-	startedAt := n.config.Clock.Now()
+	startedAt, stopTime := n.config.Clock.Now(), n.settings.Load().StopTime
 	n.stopping.Store(true)
+	n.gatherer.Stop(startedAt.Add(share(stopTime, stopAnswerShare)))
 	n.config.Logger.Info("stop began", "in_progress", n.server.InProgress())
 	n.prober.Leave()
 	go n.prober.Announce(ctx)
-	sleeper.Sleep(ctx, n.config.Clock, time.Duration(stopServeShare*float64(n.settings.Load().StopTime)))
-	finish, cancel := context.WithTimeout(ctx,
-		time.Duration((stopFinishShare-stopServeShare)*float64(n.settings.Load().StopTime)))
+	sleeper.Sleep(ctx, n.config.Clock, share(stopTime, stopServeShare))
+	finish, cancel := context.WithTimeout(ctx, share(stopTime, stopFinishShare-stopServeShare))
 	defer cancel()
-	for i := range servers {
-		if err := servers[i].Shutdown(finish); err != nil {
-			n.config.Logger.Warn("server did not shut down in time", "address", servers[i].Addr, "error", err)
+	n.drainCallers(finish)
+	for _, s := range servers[1:] {
+		if err := s.Shutdown(finish); err != nil {
+			n.config.Logger.Warn("server did not shut down in time", "address", s.Addr, "error", err)
 		}
 	}
-	n.config.Logger.Info("stop complete", "in_progress", n.server.InProgress(), "took", n.config.Clock.Since(startedAt))
+	n.config.Logger.Info("stop complete", "in_progress", n.server.InProgress(), "open_connections", n.reaper.Busy(),
+		"took", n.config.Clock.Since(startedAt))
+}
+
+// drainCallers takes no further connections of callers and waits until all requests in progress have been answered, at
+// most until the context ends. http.Server.Shutdown is not used, because it may close an idle connection in the moment
+// in which a request arrives, and the request would be passed on all the same.
+func (n *Node) drainCallers(ctx context.Context) {
+	if l := n.callerListener.Load(); l != nil {
+		if err := (*l).Close(); err != nil {
+			n.config.Logger.Warn("failed to close the listener for callers", "error", err)
+		}
+	}
+	n.reaper.Drain()
+	for n.reaper.Busy() > 0 && ctx.Err() == nil {
+		sleeper.Sleep(ctx, n.config.Clock, stopPollPeriod)
+	}
+}
+
+// share returns a share of a time.
+func share(d time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(d))
 }
