Leaving leaves: end the wait of calls for a leaf that may not be called any more

Callers saw requests sent to a leaf up to 8 s after it had said that it was draining (DRAIN), or after its zone was evacuated (EVAC), although other leaves were free.

Cause: calls wait in a queue for each leaf; nothing ended the wait when the leaf left.

An exchanger that may not be called refuses waiting and new calls, and the request goes to another leaf at once. The part of the exchanger that hands out connections is a file of its own now.

--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -53,7 +53,8 @@
 // outcome classifies the end of a call for the leaf's scorer.
 func (n *run) outcome(reply *exchanger.Reply, err error) scorer.Outcome {
 	switch {
-	case errors.Is(err, exchanger.ErrNoConnection), errors.Is(err, exchanger.ErrWithdrawn):
+	case errors.Is(err, exchanger.ErrNoConnection), errors.Is(err, exchanger.ErrWithdrawn),
+		errors.Is(err, exchanger.ErrNotCallable):
 		return scorer.Unsent
 	case err != nil && n.sendContext.Err() != nil:
 		return scorer.Abandoned
@@ -85,6 +86,9 @@
 	case errors.Is(e.err, exchanger.ErrNoConnection), errors.Is(e.err, exchanger.ErrWithdrawn):
 		s.possibleRuns--
 		n.handleNoTurn(s, e.attempt)
+	case errors.Is(e.err, exchanger.ErrNotCallable):
+		s.possibleRuns--
+		n.handleNotCallable(s, e.attempt)
 	case errors.Is(e.err, exchanger.ErrNotSent):
 		s.possibleRuns--
 		n.handleFailure(s, true)
@@ -109,6 +113,8 @@
 		return "no_turn"
 	case errors.Is(e.err, exchanger.ErrWithdrawn):
 		return "withdrawn"
+	case errors.Is(e.err, exchanger.ErrNotCallable):
+		return "left"
 	case errors.Is(e.err, exchanger.ErrNotSent):
 		return "not_connected"
 	case e.err != nil:
@@ -143,6 +149,17 @@
 	}
 }
 
+// handleNotCallable handles a call that was not sent because its leaf may not be called any more. Another leaf is
+// called at once, unless a call to one is open already.
+func (n *run) handleNotCallable(s *shard, attemptIndex int) {
+	s.attempts[attemptIndex].leaf = nil
+	if s.openCalls > 0 {
+		s.nextSendAt = time.Now().Add(blockedSendDelay)
+		return
+	}
+	n.handleFailure(s, true)
+}
+
 // handleRejection handles a call that the leaf rejected without running it.
 func (n *run) handleRejection(s *shard, e event) {
 	s.possibleRuns--
--- a/internal/upstream/balancer/balancer.go
+++ b/internal/upstream/balancer/balancer.go
@@ -348,11 +348,14 @@
 	l.exchanger.SetShare(apportioner.CallsInFlight(l.entry.Slots, b.liveNodes))
 }
 
-// updateUsableLocked rebuilds the list of the service's leaves that may be called.
+// updateUsableLocked rebuilds the list of the service's leaves that may be called. Calls that wait for one that may
+// not be called end.
 func (b *Balancer) updateUsableLocked(service string) {
 	var leaves []*Leaf
 	for _, l := range b.leavesByService[service] {
-		if !l.entry.Draining && !b.evacuatedZones[l.entry.Zone] {
+		usable := !l.entry.Draining && !b.evacuatedZones[l.entry.Zone]
+		l.exchanger.SetCallable(usable)
+		if usable {
 			leaves = append(leaves, l)
 		}
 	}
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -14,12 +14,10 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/semaphore"
-	"golang.org/x/sys/unix"
 
 	"github.com/magnoliastep/magnoliastep/internal/upstream/queuer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/readlimiter"
@@ -50,6 +48,9 @@
 	ErrNotSent = errors.New("leaf: request not sent")
 	// ErrNoConnection is an ErrNotSent for a request that got no free connection in time. It says nothing about the leaf.
 	ErrNoConnection = errors.Wrap(ErrNotSent, "no connection became free")
+	// ErrNotCallable is an ErrNotSent for a request to a leaf that may not be called, or not any more. It says nothing
+	// about the leaf.
+	ErrNotCallable = errors.Wrap(ErrNotSent, "the leaf may not be called")
 	// ErrWithdrawn is an ErrNotSent for a request that was withdrawn, or whose deadline passed, before it was sent. It
 	// says nothing about the leaf.
 	ErrWithdrawn = errors.Wrap(ErrNotSent, "withdrawn before it was sent")
@@ -143,11 +144,22 @@
 		decreasedAt time.Time
 		// waiters has the requests that wait for a connection.
 		waiters queuer.Queuer[waiter]
-		closed  bool
+		// callable is set while requests may be sent. No request waits while it is not set.
+		callable bool
+		// closed is set for good by Close; callable is not set any more then.
+		closed bool
 	}
 
-	// waiter receives an idle connection, or nil when it may open one.
-	waiter chan *connection
+	// waiter receives how the wait of a request has ended.
+	waiter chan turn
+
+	// turn is the end of the wait for a connection.
+	turn struct {
+		// connection is an idle connection, or nil when the request may open one.
+		connection *connection
+		// refused is set when the leaf may not be called any more; nothing is reserved for the request then.
+		refused bool
+	}
 
 	connection struct {
 		net.Conn
@@ -161,9 +173,9 @@
 	}
 )
 
-// New returns an Exchanger without connections.
+// New returns an Exchanger without connections, to which requests may be sent.
 func New(c Config) *Exchanger {
-	e := &Exchanger{config: c}
+	e := &Exchanger{config: c, callable: true}
 	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
 	e.connectionLimit.Store(1)
 	e.share.Store(math.MaxInt32)
@@ -201,13 +213,40 @@
 	return e.waiters.Len()
 }
 
-// Close closes the idle connections now and each busy connection at the end of its request.
+// SetCallable sets whether requests may be sent. While they may not, those that wait and new ones end with
+// ErrNotCallable, and those that have been sent are completed.
+func (e *Exchanger) SetCallable(callable bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.callable = callable && !e.closed
+	if !e.callable {
+		e.refuseWaitersLocked()
+	}
+}
+
+// refuseWaitersLocked ends the wait of all requests.
+func (e *Exchanger) refuseWaitersLocked() {
+	for now := time.Now(); e.waiters.Len() > 0; {
+		e.waiters.Take(now).Value <- turn{refused: true}
+	}
+}
+
+// isCallable returns whether a request may be sent now.
+func (e *Exchanger) isCallable() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.callable
+}
+
+// Close closes the idle connections now and each busy connection at the end of its request. Requests that have not been
+// sent end with ErrNotCallable.
 func (e *Exchanger) Close() {
 	e.mutex.Lock()
 	idle := e.idle
 	e.idle = nil
 	e.open -= len(idle)
-	e.closed = true
+	e.closed, e.callable = true, false
+	e.refuseWaitersLocked()
 	e.mutex.Unlock()
 	for _, c := range idle {
 		_ = c.Close()
@@ -219,13 +258,18 @@
 // called just before the first byte is written; if it returns false, the request is not sent.
 func (e *Exchanger) Do(ctx, waitCtx context.Context, r Request, beforeSend func() bool) (*Reply, error) {
 	c, err := e.acquire(waitCtx, r)
-	if errors.Is(err, ErrNoConnection) {
+	if errors.Is(err, ErrNoConnection) || errors.Is(err, ErrNotCallable) {
 		return nil, err
 	}
 	if err != nil {
 		return nil, errors.CombineErrors(ErrNotSent, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	// The leaf may have left while the connection was opened.
+	if !e.isCallable() {
+		e.release(c, stop())
+		return nil, ErrNotCallable
+	}
 	// A process that was paused may get here long after the deadline.
 	if time.Until(r.Deadline) < minTimeLeft || !beforeSend() {
 		e.release(c, stop())
@@ -245,113 +289,6 @@
 	return reply, nil
 }
 
-// acquire returns a connection that carries no request, and waits for one if necessary.
-func (e *Exchanger) acquire(ctx context.Context, r Request) (*connection, error) {
-	now := time.Now()
-	e.mutex.Lock()
-	if e.busy < e.maxInFlight() {
-		c := e.takeLocked(now)
-		e.mutex.Unlock()
-		if c == nil {
-			return e.dial(ctx)
-		}
-		return c, nil
-	}
-	call := &queuer.Call[waiter]{Priority: r.Priority, InTimeUntil: r.InTimeUntil, Value: make(waiter, 1)}
-	e.waiters.Add(call)
-	e.mutex.Unlock()
-	return e.await(ctx, call, r.SendBy)
-}
-
-// takeLocked reserves a connection. It returns an idle one that may carry a request, or nil when the caller is to
-// open one.
-func (e *Exchanger) takeLocked(now time.Time) *connection {
-	e.busy++
-	for len(e.idle) > 0 {
-		last := len(e.idle) - 1
-		c := e.idle[last]
-		e.idle = e.idle[:last]
-		if now.Before(c.expiresAt) && !c.readable() {
-			return c
-		}
-		e.open--
-		_ = c.Close()
-	}
-	e.open++
-	return nil
-}
-
-// await waits until a connection is handed to the waiting request; on nil it opens one.
-func (e *Exchanger) await(ctx context.Context, call *queuer.Call[waiter], sendBy time.Time) (*connection, error) {
-	if !sendBy.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, sendBy)
-		defer cancel()
-	}
-	select {
-	case c := <-call.Value:
-		if c == nil {
-			return e.dial(ctx)
-		}
-		return c, nil
-	case <-ctx.Done():
-	}
-	e.mutex.Lock()
-	removed := e.waiters.Remove(call)
-	e.mutex.Unlock()
-	if !removed {
-		// A connection was handed over in the meantime; it goes to the next waiter.
-		c := <-call.Value
-		e.release(c, c != nil)
-	}
-	return nil, errors.Wrap(ErrNoConnection, ctx.Err().Error())
-}
-
-// dial opens a connection that takeLocked has already counted in open and busy.
-func (e *Exchanger) dial(ctx context.Context) (*connection, error) {
-	if e.config.OnConnect != nil {
-		e.config.OnConnect()
-	}
-	c, err := e.dialer.DialContext(ctx, "tcp", e.config.Address)
-	if err != nil {
-		e.release(nil, false)
-		return nil, errors.Wrap(err, "connect")
-	}
-	limiter := readlimiter.New(readlimiter.Config{Source: c})
-	return &connection{
-		Conn: c, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
-		expiresAt: time.Now().Add(defaultIdleTimeout),
-	}, nil
-}
-
-// release ends the use of a connection: it hands it to the next waiter, keeps it as idle, or closes it.
-func (e *Exchanger) release(c *connection, reusable bool) {
-	e.mutex.Lock()
-	if e.closed || e.open > int(e.connectionLimit.Load()) {
-		reusable = false
-	}
-	e.busy--
-	if reusable {
-		e.idle = append(e.idle, c)
-	} else {
-		e.open--
-	}
-	e.serveWaitersLocked()
-	e.mutex.Unlock()
-	if !reusable && c != nil {
-		_ = c.Close()
-	}
-}
-
-// serveWaitersLocked hands connections to waiters as long as the limits allow more requests in flight.
-func (e *Exchanger) serveWaitersLocked() {
-	now := time.Now()
-	for e.waiters.Len() > 0 && e.busy < e.maxInFlight() {
-		c := e.takeLocked(now)
-		e.waiters.Take(now).Value <- c
-	}
-}
-
 // maxInFlight returns how many requests may be in flight now, at least 1.
 func (e *Exchanger) maxInFlight() int {
 	return max(1, min(int(e.concurrencyLimit), e.fixedLimit()))
@@ -379,30 +316,3 @@
 		e.decreasedAt = now
 	}
 }
-
-// readable returns whether bytes or the end of the stream have arrived on an idle connection.
-func (c *connection) readable() bool {
-	if c.reader.Buffered() > 0 {
-		return true
-	}
-	rawConn, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	arrived := false
-	err = rawConn.Control(func(descriptor uintptr) {
-		var buffer [1]byte
-		_, _, err := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		arrived = !errors.Is(err, unix.EAGAIN)
-	})
-	return err != nil || arrived
-}
-
-func setUserTimeout(_, _ string, rawConn syscall.RawConn) error {
-	var optionError error
-	err := rawConn.Control(func(descriptor uintptr) {
-		optionError = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT,
-			int(userTimeout.Milliseconds()))
-	})
-	return errors.CombineErrors(err, optionError)
-}
