Store: one object that can't be read no longer stops lists and watches

Cause: the store's answer was decoded as one document, so an object that encoding/json refuses failed all of it, and the node took the store for lost.

--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -107,6 +108,19 @@
 	}
 }
 
+// unreadableReporter returns a function that counts objects of the store that can't be read, and logs the first of each
+// kind.
+func unreadableReporter(set *metrics.Set, logger *slog.Logger) func(kind string, objects int) {
+	var logged sync.Map
+	return func(kind string, objects int) {
+		set.GetOrCreateCounter(`stepfront_store_objects_unreadable_total{kind="` + kind + `"}`).Add(objects)
+		if _, repeated := logged.LoadOrStore(kind, true); !repeated {
+			logger.Warn("objects of the store have no usable name or revision and are left out", "kind", kind,
+				"objects", objects)
+		}
+	}
+}
+
 func (v *runCommand) nodeConfig(s platform.Settings, logger *slog.Logger) forwarder.Config {
 	set := metrics.NewSet()
 	clock := timekeeper.New(timekeeper.Config{Clock: quartz.NewReal()})
@@ -120,6 +134,7 @@
 			Address: s.StoreAddress, Clock: clock, OnCall: func(call, result string) {
 				set.GetOrCreateCounter(`stepfront_store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
 			},
+			OnUnreadable: unreadableReporter(set, logger),
 		}),
 		Decoder: platform.Decoder{},
 		Kinds: forwarder.Kinds{
