Leaf answers: trust none that may belong to no request, pass on no false promise

Cause: only successes were checked for the request ID, and every unacceptable answer was passed on as the leaf's failure.

--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -94,14 +94,16 @@
 		n.handleFailure(s, true)
 	case e.err != nil:
 		n.handleFailure(s, n.request.Route.Idempotent)
-	case e.reply.NotRun:
+	case n.rejected(e.reply):
 		n.handleRejection(s, e)
 	case n.acceptable(e.reply):
 		s.done, s.answered = true, true
 		n.result.Parts = append(n.result.Parts, e.reply)
 		n.gatherer.addLatencySample(n.request.Route, e.took)
 	default:
-		n.result.LeafFailure = e.reply
+		if isFailure(e.reply) {
+			n.result.LeafFailure = e.reply
+		}
 		n.handleFailure(s, n.request.Route.Idempotent)
 	}
 }
@@ -128,10 +130,32 @@
 
 // acceptable reports whether a leaf's answer can be returned to the caller, or used as a part of the answer.
 func (n *run) acceptable(r *exchanger.Reply) bool {
-	if len(n.request.Route.Shards) > 0 {
-		return r.Status/100 == 2 && r.Signature != ""
+	if r.Status/100 == 2 {
+		return r.Signature != "" && !r.Unidentified
 	}
-	return r.Status < http.StatusInternalServerError && (r.Signature != "" || r.Status/100 != 2)
+	return len(n.request.Route.Shards) == 0 && r.Status < http.StatusInternalServerError && isFailure(r)
+}
+
+// isFailure reports whether a leaf's answer is a failure that the caller may be given: it belongs to the request, and its
+// status does not tell the caller wrongly that the request has not run.
+func isFailure(r *exchanger.Reply) bool {
+	return r.Status/100 != 2 && !r.Unidentified && !promisesNotRun(r.Status)
+}
+
+// promisesNotRun reports whether a status tells the caller that its request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
+		http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// rejected reports whether the leaf has not run the request. A rejection that may be left over from an earlier request
+// does not count for a request that must not run twice.
+func (n *run) rejected(r *exchanger.Reply) bool {
+	return r.NotRun && (n.request.Route.Idempotent || !r.Unidentified)
 }
 
 // handleNoTurn handles a call that got no connection while its answer could still have been in time. The shard is
--- a/internal/upstream/exchanger/exchange.go
+++ b/internal/upstream/exchanger/exchange.go
@@ -93,7 +93,8 @@
 	if echoed != "" && echoed != r.ID {
 		return nil, false, false, nil
 	}
-	if echoed == "" && c.echoes && response.StatusCode/100 == 2 {
+	unidentified := echoed == "" && c.echoes
+	if unidentified && response.StatusCode/100 == 2 {
 		// It could be a copy of an earlier answer on this connection.
 		return nil, false, false, errors.New("success without the request ID from a leaf that echoes it")
 	}
@@ -105,11 +106,12 @@
 		Status: response.StatusCode, Header: response.Header, Body: body,
 		NotRun: response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(names.NotRun) != "",
 		// A header of several values is no signature.
-		Signature: response.Header.Get(names.Signature),
+		Signature:    response.Header.Get(names.Signature),
+		Unidentified: unidentified,
 	}
 	c.expiresAt = time.Now().Add(idleTimeout(response.Header))
 	delimited := response.ContentLength != -1 || len(response.TransferEncoding) > 0
-	return reply, delimited && !response.Close, true, nil
+	return reply, delimited && !response.Close && !unidentified, true, nil
 }
 
 // readHead reads the head of the answer, and skips informational answers.
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -121,6 +121,9 @@
 		NotRun bool
 		// Signature is empty when the answer does not come from a leaf.
 		Signature string
+		// Unidentified is set when the answer has no request ID although earlier ones on its connection had. It may be
+		// left over from an earlier request, so it says nothing certain about this one.
+		Unidentified bool
 	}
 
 	// Exchanger holds the connections to one leaf. It is safe for concurrent use.
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -177,6 +177,16 @@
 			"body", 2,
 		},
 		{"no length, reset", []string{strings.Replace(okAnswer, "Content-Length: 4\r\n", "", 1) + "RST"}, "", 2},
+		{"head ends before its last byte", []string{"HTTP/1.1 200 OK\r\nId: {id}\r\nSign: s-{id}\r\n\rFIN"}, "", 2},
+		{
+			"head with length 0 ends before its last byte",
+			[]string{"HTTP/1.1 200 OK\r\nId: {id}\r\nSign: s-{id}\r\nContent-Length: 0\r\n\rFIN"},
+			"", 2,
+		},
+		{"head ends after a field", []string{"HTTP/1.1 200 OK\r\nId: {id}\r\nSign: s-{id}\r\nFIN"}, "", 2},
+		{"head ends inside a field", []string{"HTTP/1.1 200 OK\r\nId: {id}\r\nSign: s-{id}FIN"}, "", 2},
+		{"head ends inside the name of a field", []string{"HTTP/1.1 200 OK\r\nId: {id}\r\nSign: s\r\nContFIN"}, "", 2},
+		{"head ends after the status", []string{"HTTP/1.1 200 OKFIN"}, "", 2},
 		{"not an answer", []string{"garbage\r\n\r\nFIN"}, "", 2},
 		{"encoded", []string{strings.Replace(okAnswer, "Sign", "Content-Encoding: gzip\r\nSign", 1)}, "", 2},
 		{"chunked", []string{strings.Replace(strings.Replace(okAnswer, "Content-Length: 4", "Transfer-Encoding: chunked", 1),
@@ -240,6 +250,19 @@
 	}
 }
 
+// Guards against failures left over from an earlier request that are taken for the answer to this one.
+func TestFailureWithoutIDOnUsedConnectionIsUnidentified(t *testing.T) {
+	is := is.New(t)
+	const rejection = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	l, e := newLeaf(t, rejection, okAnswer, rejection+okAnswer, okAnswer)
+	for _, unidentified := range []bool{false, false, true, false} {
+		reply, err := do(t, e, "r")
+		is.NoErr(err)
+		is.Equal(reply.Unidentified, unidentified)
+	}
+	is.Equal(l.connections.Load(), int64(2)) // the connection with the left-over answer is not used again
+}
+
 func TestReplyOrErrorSaysThatRequestDidNotRun(t *testing.T) {
 	is := is.New(t)
 	_, e := newLeaf(t, "HTTP/1.1 503 Busy\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
