--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -136,8 +136,8 @@
 	return len(n.request.Route.Shards) == 0 && r.Status < http.StatusInternalServerError && isFailure(r)
 }
 
-// isFailure reports whether a leaf's answer is a failure that the caller may be given: it belongs to the request, and its
-// status does not tell the caller wrongly that the request has not run.
+// isFailure reports whether a leaf's answer is a failure that the caller may be given: it belongs to the request, and
+// its status does not tell the caller wrongly that the request has not run.
 func isFailure(r *exchanger.Reply) bool {
 	return r.Status/100 != 2 && !r.Unidentified && !promisesNotRun(r.Status)
 }
--- a/internal/forward/gatherer/stray_answer_test.go
+++ b/internal/forward/gatherer/stray_answer_test.go
@@ -13,8 +13,8 @@
 // fields are header fields of an answer.
 type fields map[string]string
 
-// answerFirstThen returns a handler that answers the first request successfully, and all others with a status and header
-// fields. "{id}" stands for the request ID.
+// answerFirstThen returns a handler that answers the first request successfully, and all others with a status and
+// header fields. "{id}" stands for the request ID.
 func answerFirstThen(status int, f fields) http.HandlerFunc {
 	var count atomic.Int64
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -32,8 +32,8 @@
 	}
 }
 
-// Guards against answers without request ID or signature that reach the caller, or make a request run twice, and against
-// statuses that promise wrongly that a request has not run.
+// Guards against answers without request ID or signature that reach the caller, or make a request run twice, and
+// against statuses that promise wrongly that a request has not run.
 func TestAnswerThatMayBelongToNoRequestIsNotTrusted(t *testing.T) {
 	for _, c := range []struct {
 		name        string
