Leaving leaves: obey a leaf that says in its answers that it is leaving

A node that is cut off from the store and from all other nodes must stop calling such a leaf on its own, and an older entry must not take that back.

The mark belongs to the leaf's process: it goes when the entry shows another incarnation, id or address.

--- a/internal/forward/gatherer/gatherer_test.go
+++ b/internal/forward/gatherer/gatherer_test.go
@@ -67,6 +67,7 @@
 		Zone: "near", MaxAnswerBytes: 1 << 16, ColdShare: func(string) float64 { return 1 },
 		HeaderNames: exchanger.HeaderNames{
 			RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign", NotRun: "Not-Run",
+			Leaving: "Leaving",
 		},
 		Random: func() float64 { return 0 }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
--- a/internal/upstream/balancer/balancer.go
+++ b/internal/upstream/balancer/balancer.go
@@ -1,6 +1,8 @@
 // Package balancer balances calls over the leaves of each service: it holds the leaves of all services and picks the
 // leaf with the lowest expected latency for each call. Leaves that are draining, in an evacuated zone, or suspended
-// because another process answered at their address are not picked.
+// because another process answered at their address are not picked. A leaf is draining if its entry or one of its
+// answers says so; what it has said in an answer holds until its process has been started again, which its entry shows
+// by another incarnation or address.
 //
 // It is built for services of a few leaves, of which one at a time pauses, slows down, fails or vanishes while the
 // others have spare capacity. Each node picks by its own observations, so that a call needs no request to another
@@ -9,6 +11,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +38,8 @@
 	misdirectedSuspension = 2 * time.Second
 	// connectionWaitPenalty is added to the expected latency of a leaf at which a call would wait for a connection.
 	connectionWaitPenalty = 40 * time.Millisecond
+	// maxDeparted bounds the number of leaves that are remembered as having left.
+	maxDeparted = 4096
 	// defaultMaxConnections is the limit per leaf of a service that declares none.
 	defaultMaxConnections = 64
 )
@@ -105,7 +110,16 @@
 		summary *Summary
 		// evacuatedZones has the zones whose leaves get no calls.
 		evacuatedZones map[string]bool
-		liveNodes      int
+		// departed has leaves that have said that they are leaving and whose entry was removed or replaced afterwards, the
+		// oldest first, at most maxDeparted.
+		departed  []process
+		liveNodes int
+	}
+
+	// process identifies one start of a leaf's process.
+	process struct {
+		id, address string
+		incarnation int64
 	}
 
 	// Leaf is one leaf with this node's latency estimate of it and connections to it.
@@ -182,7 +196,7 @@
 	}
 	b.leavesByService[e.Service][e.ID] = l
 	if previous != nil && previous.exchanger != l.exchanger {
-		previous.exchanger.Close()
+		b.closeLocked(previous)
 	}
 	b.config.Logger.Info("leaf changed", "leaf", e.ID, "service", e.Service, "address", e.Address, "zone", e.Zone,
 		"draining", e.Draining, "warm_up_left", e.WarmUpLeft, "new", previous == nil)
@@ -203,10 +217,37 @@
 	delete(b.leaves, id)
 	delete(b.leavesByService[l.entry.Service], id)
 	b.updateUsableLocked(l.entry.Service)
-	l.exchanger.Close()
+	b.closeLocked(l)
 	b.config.Logger.Info("leaf removed", "leaf", id, "service", l.entry.Service, "reason", reason)
 }
 
+// closeLocked closes the connections to a leaf. If the leaf has said that it is leaving, that holds on when an older
+// entry of the same process comes back. A process that states no incarnation can't be told from the next one.
+func (b *Balancer) closeLocked(l *Leaf) {
+	l.exchanger.Close()
+	if !l.exchanger.Leaving() || l.entry.Incarnation == 0 {
+		return
+	}
+	if len(b.departed) == maxDeparted {
+		b.departed = b.departed[1:]
+	}
+	b.departed = append(b.departed, l.entry.process())
+}
+
+// process returns the process that published the entry.
+func (e Entry) process() process {
+	return process{id: e.ID, address: e.Address, incarnation: e.Incarnation}
+}
+
+// leafLeaves is called when a leaf has said in an answer that it is leaving.
+func (b *Balancer) leafLeaves(e Entry) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.updateUsableLocked(e.Service)
+	b.config.Logger.Info("leaf says that it is leaving", "leaf", e.ID, "service", e.Service, "address", e.Address,
+		"zone", e.Zone)
+}
+
 // SetServices replaces the configured limits of all services.
 func (b *Balancer) SetServices(services map[string]Service) {
 	b.mutex.Lock()
@@ -317,11 +358,15 @@
 	x := exchanger.New(exchanger.Config{
 		Address: e.Address, LeafID: e.ID, HeaderNames: b.config.HeaderNames, MaxAnswerBytes: b.config.MaxAnswerBytes,
 		OnConnect: b.config.OnConnect, LargeAnswers: b.config.LargeAnswers,
+		OnLeaving: func() { b.leafLeaves(e) },
 		OnExcessBytes: func() {
 			b.config.Logger.Warn("leaf sent more bytes than an answer may have", "leaf", e.ID, "service", e.Service,
 				"address", e.Address)
 		},
 	})
+	if slices.Contains(b.departed, e.process()) {
+		x.SetLeaving()
+	}
 	l := &Leaf{entry: e, scorer: scorer.New(), exchanger: x}
 	b.applyLimitsLocked(l)
 	return l
@@ -353,7 +398,7 @@
 func (b *Balancer) updateUsableLocked(service string) {
 	var leaves []*Leaf
 	for _, l := range b.leavesByService[service] {
-		usable := !l.entry.Draining && !b.evacuatedZones[l.entry.Zone]
+		usable := !l.entry.Draining && !l.exchanger.Leaving() && !b.evacuatedZones[l.entry.Zone]
 		l.exchanger.SetCallable(usable)
 		if usable {
 			leaves = append(leaves, l)
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -39,6 +39,8 @@
 	concurrencyDecreaseFactor = 0.8
 	// minTimeLeft is the least time left with which a request is sent; leaves are told whole milliseconds.
 	minTimeLeft = time.Millisecond
+	// leavingValue is the value of HeaderNames.Leaving that says that the leaf is leaving.
+	leavingValue = "1"
 	// readBufferBytes has room for the head of an answer and a small body.
 	readBufferBytes = 2 << 10
 )
@@ -72,6 +74,8 @@
 		Signature string
 		// NotRun is present on the answer to a request that the leaf did not run.
 		NotRun string
+		// Leaving is "1" on each answer of a leaf that is about to exit.
+		Leaving string
 	}
 
 	// Config holds what an Exchanger needs.
@@ -88,6 +92,8 @@
 		LargeAnswers *semaphore.Weighted
 		// OnConnect, if not nil, is called before each attempt to connect.
 		OnConnect func()
+		// OnLeaving, if not nil, is called once, when the leaf has said that it is leaving.
+		OnLeaving func()
 		// OnExcessBytes, if not nil, is called when the leaf has sent more bytes than an answer may have.
 		OnExcessBytes func()
 	}
@@ -147,8 +153,11 @@
 		decreasedAt time.Time
 		// waiters has the requests that wait for a connection.
 		waiters queuer.Queuer[waiter]
-		// callable is set while requests may be sent. No request waits while it is not set.
+		// callable is set while requests may be sent, as far as other sources than the leaf's answers say. No request waits
+		// while it is not set.
 		callable bool
+		// leaving is set for good once the leaf has said that it is leaving. No request waits then.
+		leaving bool
 		// closed is set for good by Close; callable is not set any more then.
 		closed bool
 	}
@@ -227,6 +236,36 @@
 	}
 }
 
+// Leaving reports whether the leaf has said that it is leaving, or SetLeaving was called.
+func (e *Exchanger) Leaving() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.leaving
+}
+
+// SetLeaving marks the leaf as leaving for good: requests that have not been sent end with ErrNotCallable. It reports
+// whether the leaf was not marked before.
+func (e *Exchanger) SetLeaving() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.leaving {
+		return false
+	}
+	e.leaving = true
+	e.refuseWaitersLocked()
+	return true
+}
+
+// observe takes from an answer what the leaf says of itself. An answer that may not be the leaf's own says nothing.
+func (e *Exchanger) observe(r *Reply) {
+	if r.Unidentified || r.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	if r.Header.Get(e.config.HeaderNames.Leaving) == leavingValue && e.SetLeaving() && e.config.OnLeaving != nil {
+		e.config.OnLeaving()
+	}
+}
+
 // refuseWaitersLocked ends the wait of all requests.
 func (e *Exchanger) refuseWaitersLocked() {
 	for now := time.Now(); e.waiters.Len() > 0; {
@@ -238,7 +277,7 @@
 func (e *Exchanger) isCallable() bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.callable
+	return e.callable && !e.leaving
 }
 
 // Close closes the idle connections now and each busy connection at the end of its request. Requests that have not been
@@ -282,6 +321,9 @@
 	if !stop() {
 		reusable = false
 	}
+	if err == nil {
+		e.observe(reply)
+	}
 	e.release(c, reusable && err == nil)
 	if err != nil {
 		if errors.Is(err, readlimiter.ErrLimit) && e.config.OnExcessBytes != nil {
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -20,7 +20,7 @@
 )
 
 var names = exchanger.HeaderNames{ //nolint:gochecknoglobals // constant
-	RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign", NotRun: "Not-Run",
+	RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign", NotRun: "Not-Run", Leaving: "Leaving",
 }
 
 // fakeLeaf answers each request with the next of its scripts, in turn. In a script {id} stands for the ID of the
@@ -263,6 +263,67 @@
 	is.Equal(l.connections.Load(), int64(2)) // the connection with the left-over answer is not used again
 }
 
+// Guards against requests to a leaf that says in its answers that it is leaving.
+func TestLeavingLeafGetsNoFurtherRequest(t *testing.T) {
+	leaving := func(answer string) string { return strings.Replace(answer, "Id: ", "Leaving: 1\r\nId: ", 1) }
+	const failure = "HTTP/1.1 500 Broken\r\nId: {id}\r\nSign: s\r\nContent-Length: 0\r\n\r\n"
+	const rejection = "HTTP/1.1 503 Busy\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	const misdirected = "HTTP/1.1 421 Misdirected\r\nId: {id}\r\nContent-Length: 0\r\n\r\n"
+	for _, c := range []struct {
+		name    string
+		answer  string
+		leaving bool
+	}{
+		{"success", leaving(okAnswer), true},
+		{"failure", leaving(failure), true},
+		{"rejection", leaving(rejection), true},
+		{"other value", strings.Replace(okAnswer, "Id: ", "Leaving: 0\r\nId: ", 1), false},
+		{"answer of another leaf", leaving(misdirected), false},
+		{"late answer to another request", leaving(strings.Replace(okAnswer, "{id}", "old", 1)) + okAnswer, false},
+		{"failure that may belong to no request", strings.Replace(leaving(failure), "Id: {id}\r\n", "", 1), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l, e := newLeaf(t, okAnswer, c.answer, okAnswer)
+			for range 2 {
+				_, err := do(t, e, "r")
+				is.NoErr(err)
+			}
+			is.Equal(e.Leaving(), c.leaving)
+			e.SetCallable(true) // whatever other sources say
+			_, err := do(t, e, "r3")
+			is.Equal(errors.Is(err, exchanger.ErrNotCallable), c.leaving)
+			want := int64(3)
+			if c.leaving {
+				want = 2
+			}
+			is.Equal(l.requests.Load(), want)
+		})
+	}
+}
+
+// Guards against a request that waits for a leaf and is sent to it after an answer in which it says that it is leaving.
+func TestWaitEndsWhenAnswerSaysThatLeafIsLeaving(t *testing.T) {
+	is := is.New(t)
+	l, e, gate := newGatedLeaf(t)
+	l.scripts = []string{strings.Replace(okAnswer, "Id: ", "Leaving: 1\r\nId: ", 1)}
+	first, second := make(chan error, 1), make(chan error, 1)
+	go func() {
+		_, err := do(t, e, "first")
+		first <- err
+	}()
+	waitUntil(t, func() bool { return l.requests.Load() == 1 })
+	go func() {
+		_, err := do(t, e, "second")
+		second <- err
+	}()
+	waitUntil(t, func() bool { return e.Waiting() == 1 })
+	gate <- struct{}{}
+	is.NoErr(<-first)
+	is.True(errors.Is(<-second, exchanger.ErrNotCallable))
+	is.Equal(l.requests.Load(), int64(1))
+}
+
 func TestReplyOrErrorSaysThatRequestDidNotRun(t *testing.T) {
 	is := is.New(t)
 	_, e := newLeaf(t, "HTTP/1.1 503 Busy\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
