Leaf pauses: obey a 503 with Retry-After

Until now the field was not read.

Pausing leaves are not picked, waiting calls for them end, and a request whose leaves all pause is refused at once with the time that is left.

--- a/internal/forward/deferrer/deferrer.go
+++ b/internal/forward/deferrer/deferrer.go
@@ -42,12 +42,17 @@
 		TimeLeft time.Duration
 		// Priority is the rank of the request's route; 0 is the highest.
 		Priority int
+		// CapacityIn is after what time capacity is known to be there; 0 if that is not known.
+		CapacityIn time.Duration
 	}
 )
 
 // RetryAfter returns after which time the caller is to send the request again. random is from 0 to 1 and spreads
 // callers that are refused together.
 func RetryAfter(r Refusal, random float64) time.Duration {
+	if r.Reason == NoCapacity && r.CapacityIn > 0 {
+		return r.CapacityIn + time.Duration(random*float64(capacityDelay))
+	}
 	delay := capacityDelay
 	switch r.Reason {
 	case NoConfiguration:
--- a/internal/forward/deferrer/deferrer_test.go
+++ b/internal/forward/deferrer/deferrer_test.go
@@ -24,6 +24,11 @@
 			200 * ms, 400 * ms,
 		},
 		{"node stopping", deferrer.Refusal{Reason: deferrer.NodeStopping, TimeLeft: time.Second}, 10 * ms, 20 * ms},
+		{
+			"leaves ask for a pause",
+			deferrer.Refusal{Reason: deferrer.NoCapacity, TimeLeft: time.Second, CapacityIn: 2 * time.Second},
+			2 * time.Second, 2060 * ms,
+		},
 		{"less urgent", deferrer.Refusal{Reason: deferrer.NoCapacity, TimeLeft: time.Second, Priority: 2}, 90 * ms, 180 * ms},
 		{
 			"absurd rank",
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +48,8 @@
 		Pick(service string, typicalLatency time.Duration, tried func(*balancer.Leaf) bool, now time.Time) (*balancer.Leaf,
 			time.Duration)
 		Usable(service string) int
+		// PausedFor returns after what time a usable leaf of the service may be called if all have asked for a pause, else 0.
+		PausedFor(service string, now time.Time) time.Duration
 	}
 
 	// Config holds what a Gatherer needs.
@@ -101,8 +104,11 @@
 		OutOfTime bool
 		// Stopping is set when the request was refused or ended early because this node stops.
 		Stopping bool
-		// ServicesWithoutLeaf has the services without a usable leaf.
+		// ServicesWithoutLeaf has the services without a usable leaf, those included whose leaves all ask for a pause.
 		ServicesWithoutLeaf []string
+		// RetryIn is after what time leaves may be called that ask for a pause, if a request that has not run lacked them;
+		// 0 if that is not known.
+		RetryIn time.Duration
 	}
 
 	// Gatherer runs requests. It is safe for concurrent use.
@@ -142,7 +148,7 @@
 	noLeaf := g.servicesWithoutLeaf(r)
 	if usable := len(r.Services) - len(noLeaf); usable == 0 ||
 		float64(usable) < r.Route.MinCoverage*float64(len(r.Services)) {
-		return Result{Outcome: OutcomeNotRun, ServicesWithoutLeaf: noLeaf}
+		return Result{Outcome: OutcomeNotRun, ServicesWithoutLeaf: noLeaf, RetryIn: g.retryIn(r)}
 	}
 	run := newRun(g, r)
 	run.result.ServicesWithoutLeaf = noLeaf
@@ -162,14 +168,38 @@
 // servicesWithoutLeaf returns the services of the request that have no usable leaf.
 func (g *Gatherer) servicesWithoutLeaf(r Request) []string {
 	var noLeaf []string
+	now := time.Now()
 	for _, s := range r.Services {
-		if g.config.Pool.Usable(s) == 0 {
+		if g.config.Pool.Usable(s) == 0 || g.config.Pool.PausedFor(s, now) > 0 {
 			noLeaf = append(noLeaf, s)
 		}
 	}
 	return noLeaf
 }
 
+// retryIn returns after what time enough services can be called, as far as only pauses of their leaves prevent that; 0
+// if that is not known.
+func (g *Gatherer) retryIn(r Request) time.Duration {
+	var pauses []time.Duration
+	now, callable := time.Now(), 0
+	for _, s := range r.Services {
+		switch d := g.config.Pool.PausedFor(s, now); {
+		case d > 0:
+			pauses = append(pauses, d)
+		case g.config.Pool.Usable(s) > 0:
+			callable++
+		}
+	}
+	slices.Sort(pauses)
+	for _, d := range pauses {
+		callable++
+		if float64(callable) >= max(1, r.Route.MinCoverage*float64(len(r.Services))) {
+			return d
+		}
+	}
+	return 0
+}
+
 // Budget returns the budget of a service.
 func (g *Gatherer) Budget(service string) *budgeter.Budgeter {
 	g.mutex.Lock()
--- a/internal/forward/gatherer/run.go
+++ b/internal/forward/gatherer/run.go
@@ -189,6 +189,7 @@
 		n.result.Outcome = OutcomeAnswered
 	case !n.mayHaveRun():
 		n.result.Outcome = OutcomeNotRun
+		n.result.RetryIn = n.gatherer.retryIn(n.request)
 	case n.elapsed(now) >= n.request.Timeout:
 		n.result.Outcome = OutcomeTimeout
 	default:
--- a/internal/forward/server/answer.go
+++ b/internal/forward/server/answer.go
@@ -179,7 +179,9 @@
 
 // refuse answers that the request has not run, and states when to retry.
 func (x *exchange) refuse(outcome string, reason deferrer.Reason, r gatherer.Result) {
-	refusal := deferrer.Refusal{Reason: reason, TimeLeft: x.timeLeft() - time.Since(x.arrivedAt)}
+	refusal := deferrer.Refusal{
+		Reason: reason, TimeLeft: x.timeLeft() - time.Since(x.arrivedAt), CapacityIn: r.RetryIn,
+	}
 	if x.route != nil {
 		refusal.Priority = x.route.Priority
 	}
--- a/internal/upstream/balancer/balancer.go
+++ b/internal/upstream/balancer/balancer.go
@@ -281,6 +281,22 @@
 	return len(b.UsableLeaves(service))
 }
 
+// PausedFor returns after what time the first usable leaf of a service may be called that has asked for a pause. It is
+// 0 if one may be called now, or if none is usable.
+func (b *Balancer) PausedFor(service string, now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for _, l := range b.UsableLeaves(service) {
+		d := l.exchanger.PausedUntil().Sub(now)
+		if d <= 0 {
+			return 0
+		}
+		if shortest == 0 || d < shortest {
+			shortest = d
+		}
+	}
+	return shortest
+}
+
 // UsableLeaves returns the leaves of a service that may be called. Callers must not change the slice.
 func (b *Balancer) UsableLeaves(service string) []*Leaf {
 	b.mutex.Lock()
@@ -359,6 +375,9 @@
 		Address: e.Address, LeafID: e.ID, HeaderNames: b.config.HeaderNames, MaxAnswerBytes: b.config.MaxAnswerBytes,
 		OnConnect: b.config.OnConnect, LargeAnswers: b.config.LargeAnswers,
 		OnLeaving: func() { b.leafLeaves(e) },
+		OnPause: func(d time.Duration) {
+			b.config.Logger.Info("leaf asks for a pause", "leaf", e.ID, "service", e.Service, "pause", d)
+		},
 		OnExcessBytes: func() {
 			b.config.Logger.Warn("leaf sent more bytes than an answer may have", "leaf", e.ID, "service", e.Service,
 				"address", e.Address)
@@ -422,7 +441,7 @@
 func (l *Leaf) available(now time.Time, warmUpRate float64, share func(string) float64) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if now.Before(l.suspendedUntil) {
+	if now.Before(l.suspendedUntil) || now.Before(l.exchanger.PausedUntil()) {
 		return false
 	}
 	if warmUpRate <= 0 || !now.Before(l.coldUntil) {
--- a/internal/upstream/exchanger/acquire.go
+++ b/internal/upstream/exchanger/acquire.go
@@ -17,7 +17,7 @@
 func (e *Exchanger) acquire(ctx context.Context, r Request) (*connection, error) {
 	now := time.Now()
 	e.mutex.Lock()
-	if !e.callable || e.leaving {
+	if !e.callableLocked(now) {
 		e.mutex.Unlock()
 		return nil, ErrNotCallable
 	}
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -94,6 +94,8 @@
 		OnConnect func()
 		// OnLeaving, if not nil, is called once, when the leaf has said that it is leaving.
 		OnLeaving func()
+		// OnPause, if not nil, is called with the time for which the leaf has asked to get no requests.
+		OnPause func(d time.Duration)
 		// OnExcessBytes, if not nil, is called when the leaf has sent more bytes than an answer may have.
 		OnExcessBytes func()
 	}
@@ -158,6 +160,8 @@
 		callable bool
 		// leaving is set for good once the leaf has said that it is leaving. No request waits then.
 		leaving bool
+		// pausedUntil is when the leaf may be called again after it has asked for a pause. No request waits until then.
+		pausedUntil time.Time
 		// closed is set for good by Close; callable is not set any more then.
 		closed bool
 	}
@@ -261,6 +265,12 @@
 	if r.Unidentified || r.Status == http.StatusMisdirectedRequest {
 		return
 	}
+	if d := requestedPause(r); d > 0 {
+		e.pause(d)
+		if e.config.OnPause != nil {
+			e.config.OnPause(d)
+		}
+	}
 	if r.Header.Get(e.config.HeaderNames.Leaving) == leavingValue && e.SetLeaving() && e.config.OnLeaving != nil {
 		e.config.OnLeaving()
 	}
@@ -277,7 +287,11 @@
 func (e *Exchanger) isCallable() bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.callable && !e.leaving
+	return e.callableLocked(time.Now())
+}
+
+func (e *Exchanger) callableLocked(now time.Time) bool {
+	return e.callable && !e.leaving && !now.Before(e.pausedUntil)
 }
 
 // Close closes the idle connections now and each busy connection at the end of its request. Requests that have not been
