--- a/internal/forward/pruner/pruner.go
+++ b/internal/forward/pruner/pruner.go
@@ -3,6 +3,7 @@
 package pruner
 
 import (
+	"strconv"
 	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,13 +46,19 @@
 	}
 }
 
-// labelValue returns the value of a label in the full name of a metric.
+// labelValue returns the value of a label in the full name of a metric, in which values are quoted as by strconv.Quote.
 func labelValue(name, label string) (value string, labelled bool) {
 	for _, start := range []string{"{", ","} {
-		if _, rest, found := strings.Cut(name, start+label+`="`); found {
-			value, _, labelled = strings.Cut(rest, `"`)
-			return value, labelled
+		_, rest, found := strings.Cut(name, start+label+"=")
+		if !found {
+			continue
 		}
+		quoted, err := strconv.QuotedPrefix(rest)
+		if err != nil {
+			return "", false
+		}
+		value, err = strconv.Unquote(quoted)
+		return value, err == nil
 	}
 	return "", false
 }
--- a/internal/forward/pruner/pruner_test.go
+++ b/internal/forward/pruner/pruner_test.go
@@ -18,16 +18,17 @@
 	for _, name := range []string{
 		`requests_total{route="kept"}`, `requests_total{route="removed"}`, `requests_total{status="200",route="removed"}`,
 		`requests_total{route="removed2"}`, `requests_total{subroute="removed"}`, `calls_total{service="removed"}`,
-		`plain_total`,
+		`plain_total`, `requests_total{route="removed \"quoted\""}`, `requests_total{route="kept \"removed\""}`,
 	} {
 		set.NewCounter(name)
 	}
-	pruner.New(pruner.Config{Metrics: set}).Prune("route", []string{"kept", "removed"}, []string{"kept", "added"})
+	pruner.New(pruner.Config{Metrics: set}).Prune("route", []string{"kept", "removed", `removed "quoted"`},
+		[]string{"kept", "added"})
 	names := set.ListMetricNames()
 	slices.Sort(names)
 	is.Equal(names, []string{
-		`calls_total{service="removed"}`, `plain_total`, `requests_total{route="kept"}`, `requests_total{route="removed2"}`,
-		`requests_total{subroute="removed"}`,
+		`calls_total{service="removed"}`, `plain_total`, `requests_total{route="kept \"removed\""}`,
+		`requests_total{route="kept"}`, `requests_total{route="removed2"}`, `requests_total{subroute="removed"}`,
 	})
 }
 
--- a/internal/node/forwarder/metrics.go
+++ b/internal/node/forwarder/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
@@ -33,13 +34,14 @@
 // observeRequest records the outcome of a request, its duration, and its hedges and retries.
 func (n *Node) observeRequest(route, outcome string, took time.Duration, r gatherer.Result) {
 	m := n.config.Metrics
-	m.GetOrCreateCounter(`stepfront_requests_total{route="` + route + `",outcome="` + outcome + `"}`).Inc()
+	label := "route=" + strconv.Quote(route)
+	m.GetOrCreateCounter(`stepfront_requests_total{` + label + `,outcome="` + outcome + `"}`).Inc()
 	m.GetOrCreateHistogram(`stepfront_connection_wait_seconds`).Update(r.ConnectionWait.Seconds())
 	m.GetOrCreateCounter(`stepfront_second_sends_total{kind="hedge"}`).Add(r.Hedges)
 	m.GetOrCreateCounter(`stepfront_second_sends_total{kind="retry"}`).Add(r.Retries)
 	m.GetOrCreateCounter(`stepfront_second_sends_total{kind="blocked"}`).Add(r.BudgetBlocked)
 	if route != "" {
-		m.GetOrCreateHistogram(`stepfront_request_seconds{route="` + route + `"}`).Update(took.Seconds())
+		m.GetOrCreateHistogram(`stepfront_request_seconds{` + label + `}`).Update(took.Seconds())
 	}
 }
 
@@ -87,7 +89,7 @@
 			open += l.Scorer().OpenCalls()
 			slowest = max(slowest, l.Scorer().ServiceTime(now, time.Second).Seconds())
 		}
-		label := `{service="` + s + `"}`
+		label := "{service=" + strconv.Quote(s) + "}"
 		for name, value := range map[string]float64{
 			"stepfront_leaves": float64(len(leaves)), "stepfront_leaf_calls_open": float64(open),
 			"stepfront_leaf_slowest_factor": slowest, "stepfront_second_sends_left": n.gatherer.Budget(s).Tokens(),
