--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -60,13 +60,28 @@
 	logger := slog.New(slog.NewTextHandler(logWriter, &slog.HandlerOptions{Level: level})).With("node", s.NodeName)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	n := forwarder.New(v.nodeConfig(s, logger))
-	go v.watchSettings(ctx, c, n, logger)
+	set := metrics.NewSet()
+	clock := timekeeper.New(timekeeper.Config{Clock: quartz.NewReal()})
+	store := platform.NewStore(platform.StoreConfig{
+		Address: s.StoreAddress, Clock: clock, OnCall: func(call, result string) {
+			set.GetOrCreateCounter(`stepfront_store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
+		},
+		OnUnreadable: unreadableReporter(set, logger),
+	})
+	node := nodeConfig(s)
+	node.Store, node.Clock, node.Logger, node.Metrics = store, clock, logger, set
+	n := forwarder.New(node)
+	go v.watchSettings(ctx, c, logger, func(s platform.Settings) {
+		store.SetAddress(s.StoreAddress)
+		n.Reload(reloadableSettings(s))
+	})
 	return n.Run(ctx)
 }
 
-// watchSettings reloads the settings after SIGHUP and when it finds that the file has changed.
-func (v *runCommand) watchSettings(ctx context.Context, c *Config, n *forwarder.Node, logger *slog.Logger) {
+// watchSettings calls reload with the settings after SIGHUP and when it finds that the file has changed.
+func (v *runCommand) watchSettings(
+	ctx context.Context, c *Config, logger *slog.Logger, reload func(s platform.Settings),
+) {
 	sighup := make(chan os.Signal, 1)
 	signal.Notify(sighup, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsPollPeriod)
@@ -96,7 +111,7 @@
 			continue
 		}
 		last = data
-		n.Reload(reloadableSettings(s))
+		reload(s)
 	}
 }
 
@@ -121,22 +136,15 @@
 	}
 }
 
-func (v *runCommand) nodeConfig(s platform.Settings, logger *slog.Logger) forwarder.Config {
-	set := metrics.NewSet()
-	clock := timekeeper.New(timekeeper.Config{Clock: quartz.NewReal()})
+// nodeConfig returns what the settings say of a node.
+func nodeConfig(s platform.Settings) forwarder.Config {
 	return forwarder.Config{
 		NodeName: s.NodeName, AvailabilityZone: s.AvailabilityZone, Region: s.Region,
 		CallerAddress: s.CallerAddress, ReadinessAddress: s.ReadinessAddress, PeerAddress: s.PeerAddress,
 		DirectoryAddress: s.DirectoryAddress, MetricsAddress: s.MetricsAddress,
 		CPUShare: s.CPUShare, MemoryBytes: s.MemoryBytes, FirstStart: s.FirstStart, DirectoryTime: s.DirectoryTime,
 		ReloadableSettings: reloadableSettings(s),
-		Store: platform.NewStore(platform.StoreConfig{
-			Address: s.StoreAddress, Clock: clock, OnCall: func(call, result string) {
-				set.GetOrCreateCounter(`stepfront_store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
-			},
-			OnUnreadable: unreadableReporter(set, logger),
-		}),
-		Decoder: platform.Decoder{},
+		Decoder:            platform.Decoder{},
 		Kinds: forwarder.Kinds{
 			Configuration: platform.KindConfiguration, Leaves: platform.KindLeaves,
 			Evacuations: platform.KindEvacuations, Nodes: platform.KindNodes,
@@ -146,6 +154,5 @@
 			return platform.DirectoryHandler(n, ready)
 		},
 		ReadinessHandler: platform.ReadinessHandler,
-		Clock:            clock, Logger: logger, Metrics: set,
 	}
 }
