--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -115,6 +115,9 @@
 	if !included {
 		serving++ // callers with an older answer of the directory still connect to this node
 	}
+	if n.prober.Joined() {
+		n.joined.Store(true)
+	}
 	if now.Sub(n.startedAt) < unknownViewPeriod {
 		serving = max(serving, assumedServingNodes)
 	}
@@ -129,6 +132,12 @@
 	return f
 }
 
+// viewIsUnknown reports whether there may be many nodes that this node has never heard of. All nodes may have started at
+// the same time with seeds that are out of date, and each of them would take itself for the only one.
+func (n *Node) viewIsUnknown(now time.Time) bool {
+	return now.Sub(n.startedAt) < unknownViewPeriod || len(n.otherSeeds()) > 0 && !n.joined.Load()
+}
+
 // servingNodes returns the number of nodes that serve callers, this one included.
 func (n *Node) servingNodes() int {
 	return n.currentFleet().serving
@@ -137,6 +146,9 @@
 // coldShare returns the share of a cold leaf's rate that this node may use. In a large fleet only a few nodes may call
 // it. All nodes with the same view choose the same ones.
 func (n *Node) coldShare(leafID string) float64 {
+	if n.viewIsUnknown(n.config.Clock.Now()) {
+		return coldRateShare / assumedServingNodes
+	}
 	if members := len(n.prober.Members()); members <= nodesPerColdLeaf {
 		return coldRateShare / float64(max(1, members))
 	}
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -148,6 +148,8 @@
 		evacuatedZones map[string]bool
 		// helpers is the number of further serving nodes that this node asks for.
 		helpers atomic.Uint32
+		// joined is set for good once another node has been known.
+		joined atomic.Bool
 		// fleet is the cached result of currentFleet; nil before its first call.
 		fleet atomic.Pointer[fleetState]
 	}
