Store reader: give up an answer with many versions of a large document early

All nodes refused requests (configuration_outdated) 3.3 s after a change was acknowledged: the reader read 4 MB of versions over a slow link before it turned to a list.

The counter of unreadable objects exists from the start, as the operations page documents it.

--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -126,9 +126,13 @@
 // unreadableReporter returns a function that counts objects of the store that can't be read, and logs the first of each
 // kind.
 func unreadableReporter(set *metrics.Set, logger *slog.Logger) func(kind string, objects int) {
+	name := func(kind string) string { return `stepfront_store_objects_unreadable_total{kind="` + kind + `"}` }
+	for _, kind := range []string{platform.KindConfiguration, platform.KindLeaves, platform.KindEvacuations} {
+		set.NewCounter(name(kind))
+	}
 	var logged sync.Map
 	return func(kind string, objects int) {
-		set.GetOrCreateCounter(`stepfront_store_objects_unreadable_total{kind="` + kind + `"}`).Add(objects)
+		set.GetOrCreateCounter(name(kind)).Add(objects)
 		if _, repeated := logged.LoadOrStore(kind, true); !repeated {
 			logger.Warn("objects of the store have no usable name or revision and are left out", "kind", kind,
 				"objects", objects)
--- a/internal/records/replicator/replicator.go
+++ b/internal/records/replicator/replicator.go
@@ -141,6 +141,17 @@
 	return documents
 }
 
+// Bytes returns the size of the data of a kind's documents.
+func (r *Replicator) Bytes(name string) int64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	size := int64(0)
+	for _, d := range r.kind(name).documents {
+		size += int64(len(d.Data))
+	}
+	return size
+}
+
 func (r *Replicator) kind(name string) *kind {
 	k := r.kinds[name]
 	if k == nil {
--- a/internal/records/watcher/watcher.go
+++ b/internal/records/watcher/watcher.go
@@ -28,6 +28,10 @@
 	// minWait bounds the wait of a watch that follows a change. It is shorter than Config.Wait, because an answer with
 	// changes leaves the position with an old confirmation.
 	minWait = 250 * time.Millisecond
+	// maxChangesFactor and minChangesBytes bound the answer to a watch, as a multiple of the known documents and a number
+	// of bytes on top.
+	maxChangesFactor = 2
+	minChangesBytes  = 64 << 10
 )
 
 var (
@@ -44,8 +48,9 @@
 		List(ctx context.Context, kind string) ([]replicator.Document, int64, error)
 		// Watch returns the changes of a kind after a revision, and the revision up to which they are complete.
 		// It waits for a change, but no longer than the given time, and then returns none. The error is
-		// ErrHistoryGone or ErrChangesTooLarge if the documents have to be listed.
-		Watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]replicator.Document, int64, error)
+		// ErrHistoryGone, or ErrChangesTooLarge for an answer of more than maxBytes, if the documents have to be listed.
+		Watch(ctx context.Context, kind string, after int64, wait time.Duration, maxBytes int64) ([]replicator.Document,
+			int64, error)
 	}
 
 	// Replica holds the documents that were read.
@@ -53,6 +58,8 @@
 		ApplyList(kind string, documents []replicator.Document, revision int64, confirmedAt time.Time)
 		ApplyChanges(kind string, after int64, documents []replicator.Document, revision int64, confirmedAt time.Time) bool
 		Position(kind string) replicator.Position
+		// Bytes returns the size of the documents of a kind.
+		Bytes(kind string) int64
 	}
 
 	// Config holds what a Watcher needs.
@@ -119,7 +126,7 @@
 		return w.list(ctx)
 	}
 	requestedAt, wait := w.config.Clock.Now(), w.wait()
-	documents, revision, err := w.config.Store.Watch(ctx, w.config.Kind, after, wait)
+	documents, revision, err := w.config.Store.Watch(ctx, w.config.Kind, after, wait, w.maxChangesBytes())
 	switch {
 	case errors.Is(err, ErrHistoryGone):
 		w.config.Logger.Info("store dropped its history", "kind", w.config.Kind, "after", after)
@@ -140,6 +147,12 @@
 	return nil
 }
 
+// maxChangesBytes returns the largest answer to a watch that is worth reading. A larger one has so many revisions of the
+// same documents that a list, which has only the last of each, arrives sooner.
+func (w *Watcher) maxChangesBytes() int64 {
+	return minChangesBytes + maxChangesFactor*w.config.Replica.Bytes(w.config.Kind)
+}
+
 // wait returns how long the next watch waits for a change, so that the position is confirmed within Config.Wait.
 func (w *Watcher) wait() time.Duration {
 	age := w.config.Clock.Since(w.config.Replica.Position(w.config.Kind).ConfirmedAt)
--- a/internal/records/watcher/watcher_test.go
+++ b/internal/records/watcher/watcher_test.go
@@ -34,6 +34,8 @@
 	maxChanges int
 	lists      int
 	watches    int
+	// maxBytes has the limit of each watch.
+	maxBytes []int64
 }
 
 func (s *store) List(context.Context, string) ([]replicator.Document, int64, error) {
@@ -47,10 +49,11 @@
 }
 
 func (s *store) Watch(
-	ctx context.Context, _ string, after int64, wait time.Duration,
+	ctx context.Context, _ string, after int64, wait time.Duration, maxBytes int64,
 ) ([]replicator.Document, int64, error) {
 	documents, revision, err := s.watch(ctx, after, wait)
 	s.mutex.Lock()
+	s.maxBytes = append(s.maxBytes, maxBytes)
 	answerDelay := s.answerDelay
 	s.mutex.Unlock()
 	time.Sleep(answerDelay)
@@ -183,6 +186,24 @@
 	})
 }
 
+// Guards against a reader that reads many revisions of a large document although a list would arrive sooner.
+func TestWatchIsBoundedByTwiceTheDocuments(t *testing.T) {
+	is := is.New(t)
+	runWatcher(t, alwaysRead, func(s *store, r *replicator.Replicator) {
+		s.mutex.Lock()
+		s.revision++
+		s.documents = append(s.documents, replicator.Document{
+			Kind: kind, Name: "large", Revision: s.revision, Data: make([]byte, 1<<20),
+		})
+		s.mutex.Unlock()
+		time.Sleep(5 * time.Second)
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		is.Equal(r.Bytes(kind), int64(1<<20))
+		is.Equal(s.maxBytes[len(s.maxBytes)-1], int64(2<<20+64<<10))
+	})
+}
+
 // Guards against a load of calls while the store is down, and against a watcher that does not continue afterwards.
 func TestWatcherBacksOffDuringOutage(t *testing.T) {
 	is := is.New(t)
