--- a/internal/discovery/reaper/reaper.go
+++ b/internal/discovery/reaper/reaper.go
@@ -56,6 +56,9 @@
 	switch state {
 	case http.StateNew, http.StateActive:
 		r.busy[c] = struct{}{}
+		if r.draining && state == http.StateNew {
+			r.drain(c)
+		}
 	case http.StateIdle:
 		delete(r.busy, c)
 		r.observeIdle(c)
--- a/internal/discovery/reaper/reaper_test.go
+++ b/internal/discovery/reaper/reaper_test.go
@@ -95,6 +95,20 @@
 	is.True(!unlimited.closed)
 }
 
+// Guards against a stop that waits for a connection that was accepted last and never used.
+func TestDrainClosesConnectionAcceptedLast(t *testing.T) {
+	is := is.New(t)
+	r := reaper.New(reaper.Config{Timeout: func() time.Duration { return 0 }, Clock: quartz.NewMock(t)})
+	caller, end := net.Pipe()
+	accepted, err := r.Listener(&fakeListener{accepted: end}).Accept()
+	is.NoErr(err)
+	r.Drain()
+	r.Observe(accepted, http.StateNew)
+	_, err = caller.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	is.Equal(r.Busy(), 0)
+}
+
 // Guards against requests that a stopping node has read and passed on although it closes their connections as idle.
 func TestDrainClosesOnlyConnectionsWithoutRequest(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -121,6 +121,8 @@
 		return "not_connected"
 	case e.err != nil:
 		return "no_answer"
+	case e.reply.Unidentified:
+		return "no_id"
 	case e.reply.NotRun:
 		return "rejected"
 	default:
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -132,8 +132,8 @@
 	return f
 }
 
-// viewIsUnknown reports whether there may be many nodes that this node has never heard of. All nodes may have started at
-// the same time with seeds that are out of date, and each of them would take itself for the only one.
+// viewIsUnknown reports whether there may be many nodes that this node has never heard of. All nodes may have started
+// at the same time with seeds that are out of date, and each of them would take itself for the only one.
 func (n *Node) viewIsUnknown(now time.Time) bool {
 	return now.Sub(n.startedAt) < unknownViewPeriod || len(n.otherSeeds()) > 0 && !n.joined.Load()
 }
--- a/internal/node/forwarder/fleet_test.go
+++ b/internal/node/forwarder/fleet_test.go
@@ -12,8 +12,8 @@
 	"github.com/matryer/is"
 )
 
-// Guards against nodes that start together with seeds that are out of date, each of which takes itself for the only node
-// and uses the whole rate of a cold leaf.
+// Guards against nodes that start together with seeds that are out of date, each of which takes itself for the only
+// node and uses the whole rate of a cold leaf.
 func TestNodeThatKnowsNoOtherUsesSmallShareOfColdLeaf(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/internal/records/watcher/watcher.go
+++ b/internal/records/watcher/watcher.go
@@ -147,8 +147,8 @@
 	return nil
 }
 
-// maxChangesBytes returns the largest answer to a watch that is worth reading. A larger one has so many revisions of the
-// same documents that a list, which has only the last of each, arrives sooner.
+// maxChangesBytes returns the largest answer to a watch that is worth reading. A larger one has so many revisions of
+// the same documents that a list, which has only the last of each, arrives sooner.
 func (w *Watcher) maxChangesBytes() int64 {
 	return minChangesBytes + maxChangesFactor*w.config.Replica.Bytes(w.config.Kind)
 }
--- a/internal/upstream/balancer/balancer.go
+++ b/internal/upstream/balancer/balancer.go
@@ -441,7 +441,7 @@
 func (l *Leaf) available(now time.Time, warmUpRate float64, share func(string) float64) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if now.Before(l.suspendedUntil) || now.Before(l.exchanger.PausedUntil()) {
+	if now.Before(l.suspendedUntil) || !l.exchanger.Callable() {
 		return false
 	}
 	if warmUpRate <= 0 || !now.Before(l.coldUntil) {
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -283,8 +283,8 @@
 	}
 }
 
-// isCallable returns whether a request may be sent now.
-func (e *Exchanger) isCallable() bool {
+// Callable returns whether a request may be sent now.
+func (e *Exchanger) Callable() bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return e.callableLocked(time.Now())
@@ -322,7 +322,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	// The leaf may have left while the connection was opened.
-	if !e.isCallable() {
+	if !e.Callable() {
 		e.release(c, stop())
 		return nil, ErrNotCallable
 	}
