--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -94,7 +94,7 @@
 		n.handleFailure(s, true)
 	case e.err != nil:
 		n.handleFailure(s, n.request.Route.Idempotent)
-	case n.rejected(e.reply):
+	case e.reply.NotRun && !e.reply.Unidentified:
 		n.handleRejection(s, e)
 	case n.acceptable(e.reply):
 		s.done, s.answered = true, true
@@ -154,12 +154,6 @@
 	return false
 }
 
-// rejected reports whether the leaf has not run the request. A rejection that may be left over from an earlier request
-// does not count for a request that must not run twice.
-func (n *run) rejected(r *exchanger.Reply) bool {
-	return r.NotRun && (n.request.Route.Idempotent || !r.Unidentified)
-}
-
 // handleNoTurn handles a call that got no connection while its answer could still have been in time. The shard is
 // dropped if the answer does not need it. If it does, the same leaf or another one is called even if the answer will be
 // late.
