--- a/internal/node/forwarder/servers.go
+++ b/internal/node/forwarder/servers.go
@@ -82,12 +82,12 @@
 func (n *Node) stop(ctx context.Context, servers []*http.Server) {
 	startedAt, stopTime := n.config.Clock.Now(), n.settings.Load().StopTime
 	n.stopping.Store(true)
-	n.gatherer.Stop(startedAt.Add(share(stopTime, stopAnswerShare)))
+	n.gatherer.Stop(startedAt.Add(shareOf(stopTime, stopAnswerShare)))
 	n.config.Logger.Info("stop began", "in_progress", n.server.InProgress())
 	n.prober.Leave()
 	go n.prober.Announce(ctx)
-	sleeper.Sleep(ctx, n.config.Clock, share(stopTime, stopServeShare))
-	finish, cancel := context.WithTimeout(ctx, share(stopTime, stopFinishShare-stopServeShare))
+	sleeper.Sleep(ctx, n.config.Clock, shareOf(stopTime, stopServeShare))
+	finish, cancel := context.WithTimeout(ctx, shareOf(stopTime, stopFinishShare-stopServeShare))
 	defer cancel()
 	n.drainCallers(finish)
 	for _, s := range servers[1:] {
@@ -114,7 +114,7 @@
 	}
 }
 
-// share returns a share of a time.
-func share(d time.Duration, share float64) time.Duration {
+// shareOf returns a share of a time.
+func shareOf(d time.Duration, share float64) time.Duration {
 	return time.Duration(share * float64(d))
 }
