--- a/internal/upstream/exchanger/pause.go
+++ b/internal/upstream/exchanger/pause.go
@@ -12,7 +12,7 @@
 const maxPause = time.Minute
 
 // PausedUntil returns until when the leaf has asked to get no requests; the zero time or a time in the past if it has
-// not. Requests that have not been sent by then end with ErrNotCallable.
+// not. Until then requests that have not been sent end with ErrNotCallable.
 func (e *Exchanger) PausedUntil() time.Time {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
