Planned stop: end requests by the steady clock, not by the time of day

What callers saw, or would see: a node whose time of day was set back after its start cuts off, at the end of its stop, every request that lasts longer than what is left, without an answer. One whose time of day was set forward ends or refuses all of them in the moment of SIGTERM although it serves on for seconds.

Cause: the end of the requests was a time of the node's clock, which counts from the time of day at the start and has no steady reading. The gatherer compares it with time.Now(), so the two differ by all steps of the time of day since the start. Nothing brings them together again: a step hours before the stop counts as well.

Fix: the gatherer is told how long requests may last and takes the end from its own clock, so that no time of another clock can be passed in. The calls in stopping_test.go state the same moments as before.

--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -133,10 +133,10 @@
 	}
 }
 
-// Stop makes all requests end by a time, with the answer that is possible then. Requests that can't be expected to be
-// answered by that time are refused from now on. Stop must be called only once.
-func (g *Gatherer) Stop(endAt time.Time) {
-	g.endAt = endAt
+// Stop makes all requests end within a time, with the answer that is possible then. Requests that can't be expected to
+// be answered within that time are refused from now on. Stop must be called only once.
+func (g *Gatherer) Stop(within time.Duration) {
+	g.endAt = time.Now().Add(within)
 	close(g.stopping)
 }
 
--- a/internal/forward/gatherer/stopping_test.go
+++ b/internal/forward/gatherer/stopping_test.go
@@ -35,7 +35,7 @@
 			is := is.New(t)
 			f := newFixture(t, map[string]http.HandlerFunc{"s/near": answerAfter(c.latency)})
 			startedAt := time.Now()
-			stop := func() { f.gatherer.Stop(startedAt.Add(c.endAfter)) }
+			stop := func() { f.gatherer.Stop(c.endAfter - time.Since(startedAt)) }
 			if c.stopBefore {
 				stop()
 			} else {
@@ -64,7 +64,7 @@
 			f := newFixture(t, map[string]http.HandlerFunc{"s/near": answerAfter(2 * time.Second)})
 			first, second := f.startBehind(t, singleServiceRoute(c.idempotent))
 			stoppedAt := time.Now()
-			f.gatherer.Stop(stoppedAt.Add(target + 100*ms))
+			f.gatherer.Stop(target + 100*ms)
 			is.Equal((<-second).Outcome, gatherer.OutcomeNotRun)
 			waited := time.Since(stoppedAt)
 			is.True(waited >= c.refusedIn && waited < c.refusedIn+100*ms)
