Cold leaves: count the warm-up by the clock by which leaves are called

What callers would see: after the time of day of a node was set forward, a new leaf gets its full share at once, more than it bears (FAILBACK), and after it was set back, the leaf stays cold for as long as the step.

All other users of the node's clock were read: they compare its times only with each other.

Fix: the node's pool puts entries with the time of the clock by which leaves are called.

--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -215,7 +215,7 @@
 		OnConnect:    connections.Inc, Random: rand.Float64, Logger: c.Logger,
 	})
 	n.enroller = enroller.New(enroller.Config{
-		Pool: n.balancer, DrainTime: func() time.Duration { return n.settings.Load().DrainTime },
+		Pool: leafPool{n.balancer}, DrainTime: func() time.Duration { return n.settings.Load().DrainTime },
 		Clock: c.Clock, Logger: c.Logger,
 	})
 	n.gatherer = gatherer.New(gatherer.Config{
--- a/internal/node/forwarder/metrics.go
+++ b/internal/node/forwarder/metrics.go
@@ -81,7 +81,7 @@
 	if m == nil {
 		return
 	}
-	now := n.config.Clock.Now()
+	now := time.Now()
 	for _, s := range m.ServiceNames() {
 		open, slowest := 0, 0.0
 		leaves := n.balancer.UsableLeaves(s)
