Server: never answer an empty success to a caller that has ended its sending direction

What callers saw: a caller that ends its own sending direction after the request (shutdown) and waits gets "200 OK" with no body and without signature, at once, whatever the leaf does. That is a forged success.

Cause: the end of the stream from the caller cancels the request's context, whether the caller has left or only sends no more; the two look the same. The outcome caller_gone wrote nothing, and net/http then answers 200 for a handler that has written nothing. By reading, not seen: the read deadline of a body that arrives in its last moment leads there, too.

Fix: the outcome is answered 502, which promises nothing. Leaves still stop work at once, as most such callers have left; for these the answer goes nowhere.

--- a/internal/forward/server/answer.go
+++ b/internal/forward/server/answer.go
@@ -62,7 +62,8 @@
 	case gatherer.OutcomeTimeout:
 		x.fail(http.StatusGatewayTimeout, timeoutOutcome(r), r)
 	case gatherer.OutcomeCallerGone:
-		x.recordOutcome("caller_gone", 0, r)
+		// A caller that has only ended its own sending direction still waits for the answer.
+		x.fail(http.StatusBadGateway, "caller_gone", r)
 	case gatherer.OutcomeFailed:
 		if r.LeafFailure != nil && len(x.route.Shards) == 0 {
 			x.writeReply(r.LeafFailure)
--- a/internal/forward/server/server_test.go
+++ b/internal/forward/server/server_test.go
@@ -156,6 +156,9 @@
 		{"a newer version is overdue", "/one/x", func(f *fixture) { f.configOutdated = true }, 503, true, ""},
 		{"not run", "/one/x", func(f *fixture) { f.result.Outcome = gatherer.OutcomeNotRun }, 503, true, ""},
 		{"timeout", "/one/x", func(f *fixture) { f.result.Outcome = gatherer.OutcomeTimeout }, 504, false, ""},
+		{"caller has ended its sending direction", "/one/x", func(f *fixture) {
+			f.result.Outcome = gatherer.OutcomeCallerGone
+		}, 502, false, ""},
 		{"failed", "/one/x", func(f *fixture) { f.result.Outcome = gatherer.OutcomeFailed }, 502, false, ""},
 		{"a leaf's failure", "/one/x", func(f *fixture) {
 			f.result = gatherer.Result{Outcome: gatherer.OutcomeFailed, LeafFailure: failure}
