Reaper: keep the connection of a pipelined request during a stop

Cause: a stop closes each connection of which no byte has been read since it was last idle. The bytes of the second request were read together with the first, before the connection was idle, so it looked unused while a leaf was at work.

Evidence: TestDrainKeepsConnectionWithPipelinedRequest failed before (unexpected end instead of the second answer).

Fix: a connection that the server calls active has a request, whenever its bytes were read.

--- a/internal/discovery/reaper/connection.go
+++ b/internal/discovery/reaper/connection.go
@@ -8,7 +8,7 @@
 const (
 	// noRequest means that no byte of the first or next request has been read.
 	noRequest requestState = iota
-	// requestBegun means that a byte of a request has been read since the connection was idle.
+	// requestBegun means that a byte of a request has been read since the connection was idle, or a whole request.
 	requestBegun
 	// requestRefused means that no further byte may be read.
 	requestRefused
@@ -61,6 +61,15 @@
 	c.state = noRequest
 }
 
+// beginRequest is called when a request has been read. Its bytes may have been read together with the request before.
+func (c *connection) beginRequest() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.state != requestRefused {
+		c.state = requestBegun
+	}
+}
+
 // refuseRequest makes all further reads fail and returns true, unless a byte has been read since the connection became
 // idle. Then it returns false, but true when it is called again.
 func (c *connection) refuseRequest() bool {
--- a/internal/discovery/reaper/reaper.go
+++ b/internal/discovery/reaper/reaper.go
@@ -54,11 +54,16 @@
 		delete(r.timers, c)
 	}
 	switch state {
-	case http.StateNew, http.StateActive:
+	case http.StateNew:
 		r.busy[c] = struct{}{}
-		if r.draining && state == http.StateNew {
+		if r.draining {
 			r.drain(c)
 		}
+	case http.StateActive:
+		r.busy[c] = struct{}{}
+		if t, tracked := c.(*connection); tracked {
+			t.beginRequest()
+		}
 	case http.StateIdle:
 		delete(r.busy, c)
 		r.observeIdle(c)
--- a/internal/discovery/reaper/reaper_test.go
+++ b/internal/discovery/reaper/reaper_test.go
@@ -1,6 +1,7 @@
 package reaper_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -158,3 +159,35 @@
 		})
 	}
 }
+
+// Guards against a request that a stopping node cuts off because its bytes were read together with the one before.
+func TestDrainKeepsConnectionWithPipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	r := reaper.New(reaper.Config{Timeout: func() time.Duration { return time.Second }, Clock: quartz.NewMock(t)})
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	second, proceed := make(chan struct{}), make(chan struct{})
+	s := &http.Server{ReadHeaderTimeout: time.Second, ConnState: r.Observe, Handler: http.HandlerFunc(
+		func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/second" {
+				close(second)
+				<-proceed
+			}
+		})}
+	go func() { _ = s.Serve(r.Listener(l)) }()
+	defer func() { _ = s.Close() }()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = caller.Close() }()
+	_, err = io.WriteString(caller, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-second
+	r.Drain()
+	close(proceed)
+	answers := bufio.NewReader(caller)
+	for range 2 {
+		response, err := http.ReadResponse(answers, nil)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+	}
+}
