Reaper: do not close a connection on which an unread request waits

What callers would see: on a machine that is short of processor time, or was suspended, a request that was sent in time is reset with its connection, because the timer of the idle time, or the stop, comes before the server reads what has arrived. It reaches no leaf, but the attempt is lost.

Cause: only bytes that the server had read counted as a request.

Evidence: the three cases of TestConnectionWithUnreadRequestIsNotClosed failed before, one of them a connection of which a request had begun to arrive, was kept once after its idle time, and was then closed by the stop as if nothing had arrived.

Fix: before a connection is closed as idle, the socket is asked whether bytes wait. The state of a connection that was kept once is one of its own, so that a stop does not take it for an idle one.

--- a/internal/discovery/reaper/connection.go
+++ b/internal/discovery/reaper/connection.go
@@ -3,6 +3,9 @@
 import (
 	"net"
 	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -10,6 +13,8 @@
 	noRequest requestState = iota
 	// requestBegun means that a byte of a request has been read since the connection was idle, or a whole request.
 	requestBegun
+	// requestOverdue means the same, and that the connection was kept open for it once after its idle time was over.
+	requestOverdue
 	// requestRefused means that no further byte may be read.
 	requestRefused
 )
@@ -70,31 +75,49 @@
 	}
 }
 
-// refuseRequest makes all further reads fail and returns true, unless a byte has been read since the connection became
-// idle. Then it returns false, but true when it is called again.
+// refuseRequest makes all further reads fail and returns true, unless a byte of a request has arrived since the
+// connection became idle. Then it returns false, but true when it is called again before a further byte has come.
 func (c *connection) refuseRequest() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.state == requestBegun {
-		c.state = noRequest
+	if c.state == requestBegun || c.state == noRequest && c.bytesWait() {
+		c.state = requestOverdue
 		return false
 	}
 	c.state = requestRefused
 	return true
 }
 
-// refuseUnlessBegun makes all further reads fail and returns true, unless a byte has been read since the connection was
-// opened or became idle.
+// refuseUnlessBegun makes all further reads fail and returns true, unless a byte of a request has arrived since the
+// connection was opened or became idle.
 func (c *connection) refuseUnlessBegun() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.state == requestBegun {
+	if c.state == requestBegun || c.state == requestOverdue || c.state == noRequest && c.bytesWait() {
 		return false
 	}
 	c.state = requestRefused
 	return true
 }
 
+// bytesWait reports whether bytes have arrived that the server has not read yet, as on a machine that is slowed down.
+func (c *connection) bytesWait() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := 0
+	err = raw.Control(func(descriptor uintptr) {
+		var buffer [1]byte
+		waiting, _, _ = unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && waiting > 0
+}
+
 // CloseWrite ends the sending direction, for a server that closes a connection on which bytes may still arrive.
 func (c *connection) CloseWrite() error {
 	w, ok := c.Conn.(interface{ CloseWrite() error })
--- a/internal/discovery/reaper/reaper_test.go
+++ b/internal/discovery/reaper/reaper_test.go
@@ -191,3 +191,41 @@
 		is.NoErr(response.Body.Close())
 	}
 }
+
+// Guards against a connection that is closed as idle although a request has arrived that a slow process has not read.
+func TestConnectionWithUnreadRequestIsNotClosed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		close func(*reaper.Reaper, *quartz.Mock)
+	}{
+		{"idle time is over", func(_ *reaper.Reaper, c *quartz.Mock) { c.Advance(time.Second).MustWait(t.Context()) }},
+		{"stop", func(r *reaper.Reaper, _ *quartz.Mock) { r.Drain() }},
+		{"stop after the idle time", func(r *reaper.Reaper, c *quartz.Mock) {
+			c.Advance(time.Second).MustWait(t.Context())
+			r.Drain()
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := quartz.NewMock(t)
+			r := reaper.New(reaper.Config{Timeout: func() time.Duration { return time.Second }, Clock: clock})
+			l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = l.Close() }()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = caller.Close() }()
+			accepted, err := r.Listener(l).Accept()
+			is.NoErr(err)
+			r.Observe(accepted, http.StateNew)
+			r.Observe(accepted, http.StateIdle)
+			_, err = io.WriteString(caller, "GET ")
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond) // the bytes have arrived
+			c.close(r, clock)
+			n, err := accepted.Read(make([]byte, 8))
+			is.NoErr(err)
+			is.Equal(n, 4)
+		})
+	}
+}
