Leaf answers: an answer to HEAD has no body, whatever length it states

What callers saw: HEAD requests are answered 504 at the end of the timeout, or 502, if the leaf states the length that the body would have, as most servers do.

Cause: the reader of small bodies waited for as many bytes as were stated; their absence counted as a broken connection.

Fix: a response without body is complete after its head.

--- a/internal/upstream/exchanger/exchange.go
+++ b/internal/upstream/exchanger/exchange.go
@@ -136,6 +136,9 @@
 
 // readBody returns the complete body. A body that ends early or exceeds MaxAnswerBytes is an error.
 func (e *Exchanger) readBody(ctx context.Context, response *http.Response, deadline time.Time) ([]byte, error) {
+	if response.Body == http.NoBody {
+		return nil, nil // an answer to HEAD may state the length of a body that it does not have
+	}
 	limit, stated := e.config.MaxAnswerBytes, response.ContentLength
 	if stated > limit {
 		return nil, errors.Wrapf(readlimiter.ErrLimit, "response body of %d bytes", stated)
