Settings: values without which a node can't work do not take effect

What callers would see: after a reload of settings whose grace time is 0, negative or missing, a stop ends every request at once with 504 and the process soon after. A configuration time of 0 makes a node refuse all requests whenever a new version is on its way, and a negative share of second sends leaves a budget far below 0.

Cause: numbers of the settings were taken over as they are.

Evidence: TestStopWithUnusableStopTimeAnswersRequests got 504 three times before, also for settings without a grace time since the start. The other two values were found by reading.

Fix: such values are replaced by those in force, or by defaults at the start, and logged.

--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -158,7 +158,7 @@
 // New assembles a node. It does nothing until Run is called.
 func New(c Config) *Node {
 	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}}
-	n.settings.Store(&c.ReloadableSettings)
+	n.setSettings(c.ReloadableSettings, defaultSettings())
 	n.elector = elector.New(elector.Config{
 		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
 		FallbackJitter: rand.N(maxFallbackReaderJitter), //nolint:gosec // spreads load only
@@ -228,7 +228,8 @@
 
 // Reload puts changed settings in force.
 func (n *Node) Reload(s ReloadableSettings) {
-	old := n.settings.Swap(&s)
+	old := n.settings.Load()
+	s = n.setSettings(s, *old)
 	n.config.Logger.Info("settings reloaded", "seeds", len(s.SeedPeers), "retry_share", s.RetryShare,
 		"retry_slack", s.RetrySlack, "drain_time", s.DrainTime, "stop_time", s.StopTime,
 		"configuration_time", s.ConfigurationTime, "former_seeds", len(old.SeedPeers))
--- a/internal/node/forwarder/planned_stop_test.go
+++ b/internal/node/forwarder/planned_stop_test.go
@@ -202,3 +202,27 @@
 		})
 	}
 }
+
+// Guards against a stop that cuts requests off at once because the settings state no usable time for it.
+func TestStopWithUnusableStopTimeAnswersRequests(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		start, reloaded time.Duration
+	}{
+		{"zero after a reload", testStopTime, 0},
+		{"negative after a reload", testStopTime, -time.Second},
+		{"missing since the start", 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			n := startNode(t, quartz.NewReal(), c.start)
+			n.node.Reload(ReloadableSettings{StopTime: c.reloaded, ConfigurationTime: 3 * time.Second})
+			status := make(chan int, 1)
+			go func() { status <- n.get("/answered") }()
+			time.Sleep(testLatency / 3)
+			n.stop()
+			is.Equal(<-status, http.StatusOK)
+		})
+	}
+}
