Planned stop: reserve a fixed time for answers at the end of a long grace time

What callers would see: with a grace time of 30 s, a leaf that is still at work 3 s before its end is given up and its caller gets 504, and requests that may not be repeated are refused if they may last longer than that.

Cause: the reserve for writing answers was a tenth of the grace time, whatever that is. What it must suffice for does not grow with it.

Fix: the reserve is a tenth, at most what it is for 6 s (0.6 s); the same for the end of the process. Nothing changes for grace times up to 6 s.

--- a/internal/node/forwarder/servers.go
+++ b/internal/node/forwarder/servers.go
@@ -19,10 +19,14 @@
 	maxHeaderBytes = 64 << 10
 	// stopServeShare is the share of StopTime during which a stopping node still serves callers that have its address.
 	stopServeShare = 0.7
-	// stopAnswerShare is the share of StopTime after which all requests are answered, if need be with a failure.
-	stopAnswerShare = 0.9
-	// stopFinishShare is the share of StopTime after which the process ends even if answers are still being written.
-	stopFinishShare = 0.97
+	// answerReserveShare is the share of StopTime, and maxAnswerReserve the longest time, before the end of StopTime at
+	// which all requests are answered, if need be with a failure.
+	answerReserveShare = 0.1
+	maxAnswerReserve   = 600 * time.Millisecond
+	// finishReserveShare is the share of StopTime, and maxFinishReserve the longest time, before the end of StopTime at
+	// which the process ends even if answers are still being written.
+	finishReserveShare = 0.03
+	maxFinishReserve   = 180 * time.Millisecond
 	// stopPollPeriod is the time between two checks whether callers' connections are still in use.
 	stopPollPeriod = 5 * time.Millisecond
 )
@@ -77,17 +81,33 @@
 	return n.ready.Load() && !n.stopping.Load()
 }
 
+// stopSchedule has the steps of a planned stop, as times after its start.
+type stopSchedule struct {
+	// serveFor is how long callers that have the node's address are served. All requests are answered by answerBy, if
+	// need be with a failure, and the process ends by finishBy.
+	serveFor, answerBy, finishBy time.Duration
+}
+
+// scheduleStop returns the steps of a stop that may take the given time.
+func scheduleStop(stopTime time.Duration) stopSchedule {
+	return stopSchedule{
+		serveFor: shareOf(stopTime, stopServeShare),
+		answerBy: stopTime - min(shareOf(stopTime, answerReserveShare), maxAnswerReserve),
+		finishBy: stopTime - min(shareOf(stopTime, finishReserveShare), maxFinishReserve),
+	}
+}
+
 // stop keeps serving until callers have learned that this node is leaving, then takes no further connections and lets
 // requests in progress end.
 func (n *Node) stop(ctx context.Context, servers []*http.Server) {
-	startedAt, stopTime := n.config.Clock.Now(), n.settings.Load().StopTime
+	startedAt, schedule := n.config.Clock.Now(), scheduleStop(n.settings.Load().StopTime)
 	n.stopping.Store(true)
-	n.gatherer.Stop(shareOf(stopTime, stopAnswerShare))
+	n.gatherer.Stop(schedule.answerBy)
 	n.config.Logger.Info("stop began", "in_progress", n.server.InProgress())
 	n.prober.Leave()
 	go n.prober.Announce(ctx)
-	sleeper.Sleep(ctx, n.config.Clock, shareOf(stopTime, stopServeShare))
-	finish, cancel := context.WithTimeout(ctx, shareOf(stopTime, stopFinishShare-stopServeShare))
+	sleeper.Sleep(ctx, n.config.Clock, schedule.serveFor)
+	finish, cancel := context.WithTimeout(ctx, schedule.finishBy-schedule.serveFor)
 	defer cancel()
 	n.drainCallers(finish)
 	for _, s := range servers[1:] {
