Planned stop: read the settings once more before it begins

What callers would see: if the platform changes the grace time and stops the node less than 2 s later, or sends SIGHUP and SIGTERM together, the stop takes the former time; with a shorter one the process is killed while it still serves, and every request at it ends without an answer.

Cause: the file is looked at each 2 s, and the watch ended with SIGTERM, even if SIGHUP had come before.

Fix: the watch takes a last look when SIGTERM comes, and the stop begins after it, or after 100 ms if the file can't be read by then.

--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -28,6 +28,8 @@
 	maxLogLinesPerSecond = 200
 	// settingsPollPeriod is the time between two reads of the settings file, which may change without a signal.
 	settingsPollPeriod = 2 * time.Second
+	// lastReloadTimeout bounds by how long the last look at the settings file may delay a planned stop.
+	lastReloadTimeout = 100 * time.Millisecond
 	// memoryLimitShare is the share of the memory in the settings that becomes the garbage collector's soft limit.
 	memoryLimitShare = 0.7
 	// gcPercent is the heap growth that triggers a collection, in percent of the live heap. It is below
@@ -71,14 +73,20 @@
 	node := nodeConfig(s)
 	node.Store, node.Clock, node.Logger, node.Metrics = store, clock, logger, set
 	n := forwarder.New(node)
-	go v.watchSettings(ctx, c, logger, func(s platform.Settings) {
-		store.SetAddress(s.StoreAddress)
-		n.Reload(reloadableSettings(s))
-	})
-	return n.Run(ctx)
+	stopContext, beginStop := context.WithCancel(context.WithoutCancel(ctx))
+	defer beginStop()
+	go func() {
+		defer beginStop()
+		v.watchSettings(ctx, c, logger, func(s platform.Settings) {
+			store.SetAddress(s.StoreAddress)
+			n.Reload(reloadableSettings(s))
+		})
+	}()
+	return n.Run(stopContext)
 }
 
-// watchSettings calls reload with the settings after SIGHUP and when it finds that the file has changed.
+// watchSettings calls reload with the settings after SIGHUP and when it finds that the file has changed. It returns
+// when the context ends, after a last look at the file: the time for a planned stop may change together with the stop.
 func (v *runCommand) watchSettings(
 	ctx context.Context, c *Config, logger *slog.Logger, reload func(s platform.Settings),
 ) {
@@ -92,29 +100,44 @@
 		logger.Warn("settings file cannot be read to detect changes", "path", path, "error", err)
 	}
 	for {
-		forced := false
 		select {
 		case <-ctx.Done():
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				reloadSettings(path, last, false, logger, reload)
+			}()
+			select {
+			case <-done:
+			case <-time.After(lastReloadTimeout):
+			}
 			return
 		case <-sighup:
-			forced = true
+			last = reloadSettings(path, last, true, logger, reload)
 		case <-ticker.C:
+			last = reloadSettings(path, last, false, logger, reload)
 		}
-		data, err := os.ReadFile(path)
-		if err == nil && !forced && bytes.Equal(data, last) {
-			continue
-		}
-		s, decodeError := platform.DecodeSettings(data)
-		if err = errors.CombineErrors(err, decodeError); err != nil {
-			logger.Error("settings are not usable; the last ones stay in force", "path", path, "error", err)
-			last = data
-			continue
-		}
-		last = data
-		reload(s)
 	}
 }
 
+// reloadSettings calls reload with the settings in the file if they are usable and have changed from the last content,
+// or if forced. It returns the content.
+func reloadSettings(
+	path string, last []byte, forced bool, logger *slog.Logger, reload func(s platform.Settings),
+) []byte {
+	data, err := os.ReadFile(path)
+	if err == nil && !forced && bytes.Equal(data, last) {
+		return data
+	}
+	s, decodeError := platform.DecodeSettings(data)
+	if err = errors.CombineErrors(err, decodeError); err != nil {
+		logger.Error("settings are not usable; the last ones stay in force", "path", path, "error", err)
+		return data
+	}
+	reload(s)
+	return data
+}
+
 // reloadableSettings returns the settings that may change while the node runs.
 func reloadableSettings(s platform.Settings) forwarder.ReloadableSettings {
 	return forwarder.ReloadableSettings{
