Server: serve callers that state an endless wait

What callers would see: a request that states a wait of some 300 years or more is always refused (out_of_time).

Cause: the conversion of the milliseconds overflows, and the deadline lies in the past.

Evidence: TestAnyStatedWaitIsServed failed before. No real caller was seen to state such a wait.

--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -34,6 +34,8 @@
 	defaultMaxBodyBytes = 8 << 20
 	// defaultTimeLeft is how long a caller is assumed to wait that states no time and whose route is not known.
 	defaultTimeLeft = time.Second
+	// maxTimeLeft is the longest wait for an answer that a caller may state; a longer one counts as this.
+	maxTimeLeft = 24 * time.Hour
 )
 
 type (
@@ -219,7 +221,7 @@
 	if err != nil || milliseconds <= 0 {
 		return x.route.Timeout
 	}
-	return time.Duration(milliseconds) * time.Millisecond
+	return time.Duration(min(milliseconds, maxTimeLeft.Milliseconds())) * time.Millisecond
 }
 
 // timeSpent returns an estimate of how long the caller has waited so far: the transit time, the time to connect if the
--- a/internal/forward/server/server_test.go
+++ b/internal/forward/server/server_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -273,3 +274,16 @@
 	is.Equal(f.requests[1].TimeSpent-f.requests[0].TimeSpent, 300*time.Millisecond) // a second attempt
 	is.Equal(f.requests[2].TimeSpent, f.requests[0].TimeSpent)
 }
+
+// Guards against a refusal of each request whose caller states that it waits for ever.
+func TestAnyStatedWaitIsServed(t *testing.T) {
+	for _, left := range []int64{1, 1 << 43, math.MaxInt64 / 1_000_000, math.MaxInt64} {
+		is := is.New(t)
+		f := newFixture()
+		f.result = gatherer.Result{Parts: []*exchanger.Reply{reply(200, "x", "s")}}
+		f.do("GET", "/one/x", "", "Left", strconv.FormatInt(left, 10))
+		is.True(time.Until(f.requests[0].Message.Deadline) > 0 || left == 1)
+		is.True(f.requests[0].Timeout <= 1020*time.Millisecond)
+		is.True(f.requests[0].Timeout > 0 || left == 1)
+	}
+}
