Reaper: a request that is read while its idle connection is being closed is served

What callers would see: a request that was sent in time and that the node has taken from the socket ends with a closed connection, without reaching a leaf, if the idle time ends, or a stop closes idle connections, in that moment. On a node that was suspended the moment is wide: its timers and its reads are due together.

Cause: whether the connection is closed was decided between the read and the note that it had got bytes. The bytes were gone then.

Fix: a connection on which a read is under way is not closed; the read is made to end at once. It ends either with bytes, which are served, or without, and the server closes the connection. The socket is also found behind other packages' connections that have NetConn, so that unread bytes are seen there as well.

--- a/internal/discovery/reaper/connection.go
+++ b/internal/discovery/reaper/connection.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -15,7 +16,7 @@
 	requestBegun
 	// requestOverdue means the same, and that the connection was kept open for it once after its idle time was over.
 	requestOverdue
-	// requestRefused means that no further byte may be read.
+	// requestRefused means that the connection is being closed and no further byte may be read.
 	requestRefused
 )
 
@@ -32,6 +33,8 @@
 		net.Conn
 		mutex sync.Mutex
 		state requestState
+		// reading is set while the server reads.
+		reading bool
 	}
 )
 
@@ -44,19 +47,37 @@
 	return &connection{Conn: c}, nil
 }
 
-// Read implements net.Conn. After refuseRequest it returns no bytes, also if some have arrived before.
+// Read implements net.Conn. After the connection has been refused it returns no bytes, unless a read that had begun
+// before gets some.
 func (c *connection) Read(b []byte) (int, error) {
+	if !c.beginRead() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Read(b)
-	if n == 0 {
-		return n, err
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.reading = false
+	if n > 0 {
+		c.state = requestBegun
 	}
+	return n, err
+}
+
+func (c *connection) beginRead() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.reading = c.state != requestRefused
+	return c.reading
+}
+
+// SetReadDeadline implements net.Conn. It has no effect on a connection that is being closed.
+func (c *connection) SetReadDeadline(t time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.state == requestRefused {
-		return 0, net.ErrClosed
+		return nil
 	}
-	c.state = requestBegun
-	return n, err
+	return c.Conn.SetReadDeadline(t)
 }
 
 // expectRequest is called when the connection becomes idle.
@@ -75,8 +96,8 @@
 	}
 }
 
-// refuseRequest makes all further reads fail and returns true, unless a byte of a request has arrived since the
-// connection became idle. Then it returns false, but true when it is called again before a further byte has come.
+// refuseRequest closes the connection and returns true, unless a byte of a request has arrived since the connection
+// became idle. Then it returns false, but true when it is called again before a further byte has come.
 func (c *connection) refuseRequest() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -84,25 +105,52 @@
 		c.state = requestOverdue
 		return false
 	}
-	c.state = requestRefused
+	c.closeLocked()
 	return true
 }
 
-// refuseUnlessBegun makes all further reads fail and returns true, unless a byte of a request has arrived since the
-// connection was opened or became idle.
+// refuseUnlessBegun closes the connection and returns true, unless a byte of a request has arrived since the connection
+// was opened or became idle.
 func (c *connection) refuseUnlessBegun() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.state == requestBegun || c.state == requestOverdue || c.state == noRequest && c.bytesWait() {
 		return false
 	}
-	c.state = requestRefused
+	c.closeLocked()
 	return true
 }
 
+// closeLocked closes the connection, or lets a read that is under way end at once. If that read gets bytes all the
+// same, they are of a request, and the connection stays open for its answer; if not, the server closes the connection.
+func (c *connection) closeLocked() {
+	c.state = requestRefused
+	// The caller sees the closed connection; no other action is possible on an error.
+	if c.reading {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		return
+	}
+	_ = c.Close()
+}
+
+// closed reports whether the connection has been closed; if it is being closed by the server, not yet.
+func (c *connection) closed() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.state == requestRefused && !c.reading
+}
+
 // bytesWait reports whether bytes have arrived that the server has not read yet, as on a machine that is slowed down.
 func (c *connection) bytesWait() bool {
-	s, ok := c.Conn.(syscall.Conn)
+	socket := c.Conn
+	for {
+		wrapper, ok := socket.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		socket = wrapper.NetConn()
+	}
+	s, ok := socket.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/internal/discovery/reaper/reaper.go
+++ b/internal/discovery/reaper/reaper.go
@@ -107,13 +107,10 @@
 
 // drain closes a connection unless a request has begun to arrive on it.
 func (r *Reaper) drain(c net.Conn) {
-	if t, tracked := c.(*connection); !tracked || !t.refuseUnlessBegun() {
-		r.busy[c] = struct{}{}
-		return
+	r.busy[c] = struct{}{}
+	if t, tracked := c.(*connection); tracked && t.refuseUnlessBegun() && t.closed() {
+		delete(r.busy, c)
 	}
-	delete(r.busy, c)
-	// The caller sees the closed connection; no other action is possible on an error.
-	_ = c.Close()
 }
 
 // Busy returns the number of connections that are neither closed nor idle.
@@ -132,11 +129,14 @@
 	if timer == nil {
 		return
 	}
-	if t, tracked := c.(*connection); tracked && !t.refuseRequest() {
+	t, tracked := c.(*connection)
+	if tracked && !t.refuseRequest() {
 		timer.Reset(timeout)
 		return
 	}
 	delete(r.timers, c)
-	// The caller sees the closed connection; no other action is possible on an error.
-	_ = c.Close()
+	if !tracked {
+		// The caller sees the closed connection; no other action is possible on an error.
+		_ = c.Close()
+	}
 }
--- a/internal/discovery/reaper/reaper_test.go
+++ b/internal/discovery/reaper/reaper_test.go
@@ -192,6 +192,19 @@
 	}
 }
 
+// wrappingListener accepts connections that hide their socket behind NetConn.
+type wrappingListener struct{ net.Listener }
+
+// wrappedConnection is a connection with its own Read, as of a package that observes it.
+type wrappedConnection struct{ net.Conn }
+
+func (l wrappingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return wrappedConnection{c}, err
+}
+
+func (c wrappedConnection) NetConn() net.Conn { return c.Conn }
+
 // Guards against a connection that is closed as idle although a request has arrived that a slow process has not read.
 func TestConnectionWithUnreadRequestIsNotClosed(t *testing.T) {
 	for _, c := range []struct {
@@ -215,7 +228,7 @@
 			caller, err := net.Dial("tcp", l.Addr().String())
 			is.NoErr(err)
 			defer func() { _ = caller.Close() }()
-			accepted, err := r.Listener(l).Accept()
+			accepted, err := r.Listener(wrappingListener{l}).Accept()
 			is.NoErr(err)
 			r.Observe(accepted, http.StateNew)
 			r.Observe(accepted, http.StateIdle)
@@ -229,3 +242,53 @@
 		})
 	}
 }
+
+// lateConnection is a connection whose read gets bytes although it was to end before.
+type lateConnection struct {
+	net.Conn
+	reading, arrive chan struct{}
+	closed          bool
+}
+
+func (c *lateConnection) Read(b []byte) (int, error) {
+	close(c.reading)
+	<-c.arrive
+	return copy(b, "GET "), nil
+}
+
+func (c *lateConnection) SetReadDeadline(time.Time) error { return nil }
+
+func (c *lateConnection) Close() error {
+	c.closed = true
+	return nil
+}
+
+// Guards against a request whose bytes the server has taken and whose connection is closed as idle in the same moment.
+func TestRequestReadWhileConnectionIsClosedIsServed(t *testing.T) {
+	for name, end := range map[string]func(*reaper.Reaper, *quartz.Mock){
+		"idle time is over": func(_ *reaper.Reaper, c *quartz.Mock) { c.Advance(time.Second).MustWait(t.Context()) },
+		"stop":              func(r *reaper.Reaper, _ *quartz.Mock) { r.Drain() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := quartz.NewMock(t)
+			r := reaper.New(reaper.Config{Timeout: func() time.Duration { return time.Second }, Clock: clock})
+			late := &lateConnection{reading: make(chan struct{}), arrive: make(chan struct{})}
+			accepted, err := r.Listener(&fakeListener{accepted: late}).Accept()
+			is.NoErr(err)
+			r.Observe(accepted, http.StateIdle)
+			read := make(chan int)
+			go func() {
+				n, _ := accepted.Read(make([]byte, 8))
+				read <- n
+			}()
+			<-late.reading
+			end(r, clock)
+			close(late.arrive)
+			is.Equal(<-read, 4)
+			is.True(!late.closed)
+			r.Observe(accepted, http.StateActive)
+			is.Equal(r.Busy(), 1)
+		})
+	}
+}
