--- a/internal/discovery/reaper/reaper_test.go
+++ b/internal/discovery/reaper/reaper_test.go
@@ -1,6 +1,7 @@
 package reaper_test
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -158,3 +159,136 @@
 		})
 	}
 }
+
+// Guards against a request that a stopping node cuts off because its bytes were read together with the one before.
+func TestDrainKeepsConnectionWithPipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	r := reaper.New(reaper.Config{Timeout: func() time.Duration { return time.Second }, Clock: quartz.NewMock(t)})
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	second, proceed := make(chan struct{}), make(chan struct{})
+	s := &http.Server{ReadHeaderTimeout: time.Second, ConnState: r.Observe, Handler: http.HandlerFunc(
+		func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/second" {
+				close(second)
+				<-proceed
+			}
+		})}
+	go func() { _ = s.Serve(r.Listener(l)) }()
+	defer func() { _ = s.Close() }()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = caller.Close() }()
+	_, err = io.WriteString(caller, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	<-second
+	r.Drain()
+	close(proceed)
+	answers := bufio.NewReader(caller)
+	for range 2 {
+		response, err := http.ReadResponse(answers, nil)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+	}
+}
+
+// wrappingListener accepts connections that hide their socket behind NetConn.
+type wrappingListener struct{ net.Listener }
+
+// wrappedConnection is a connection with its own Read, as of a package that observes it.
+type wrappedConnection struct{ net.Conn }
+
+func (l wrappingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return wrappedConnection{c}, err
+}
+
+func (c wrappedConnection) NetConn() net.Conn { return c.Conn }
+
+// Guards against a connection that is closed as idle although a request has arrived that a slow process has not read.
+func TestConnectionWithUnreadRequestIsNotClosed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		close func(*reaper.Reaper, *quartz.Mock)
+	}{
+		{"idle time is over", func(_ *reaper.Reaper, c *quartz.Mock) { c.Advance(time.Second).MustWait(t.Context()) }},
+		{"stop", func(r *reaper.Reaper, _ *quartz.Mock) { r.Drain() }},
+		{"stop after the idle time", func(r *reaper.Reaper, c *quartz.Mock) {
+			c.Advance(time.Second).MustWait(t.Context())
+			r.Drain()
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := quartz.NewMock(t)
+			r := reaper.New(reaper.Config{Timeout: func() time.Duration { return time.Second }, Clock: clock})
+			l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = l.Close() }()
+			caller, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = caller.Close() }()
+			accepted, err := r.Listener(wrappingListener{l}).Accept()
+			is.NoErr(err)
+			r.Observe(accepted, http.StateNew)
+			r.Observe(accepted, http.StateIdle)
+			_, err = io.WriteString(caller, "GET ")
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond) // the bytes have arrived
+			c.close(r, clock)
+			n, err := accepted.Read(make([]byte, 8))
+			is.NoErr(err)
+			is.Equal(n, 4)
+		})
+	}
+}
+
+// lateConnection is a connection whose read gets bytes although it was to end before.
+type lateConnection struct {
+	net.Conn
+	reading, arrive chan struct{}
+	closed          bool
+}
+
+func (c *lateConnection) Read(b []byte) (int, error) {
+	close(c.reading)
+	<-c.arrive
+	return copy(b, "GET "), nil
+}
+
+func (c *lateConnection) SetReadDeadline(time.Time) error { return nil }
+
+func (c *lateConnection) Close() error {
+	c.closed = true
+	return nil
+}
+
+// Guards against a request whose bytes the server has taken and whose connection is closed as idle in the same moment.
+func TestRequestReadWhileConnectionIsClosedIsServed(t *testing.T) {
+	for name, end := range map[string]func(*reaper.Reaper, *quartz.Mock){
+		"idle time is over": func(_ *reaper.Reaper, c *quartz.Mock) { c.Advance(time.Second).MustWait(t.Context()) },
+		"stop":              func(r *reaper.Reaper, _ *quartz.Mock) { r.Drain() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := quartz.NewMock(t)
+			r := reaper.New(reaper.Config{Timeout: func() time.Duration { return time.Second }, Clock: clock})
+			late := &lateConnection{reading: make(chan struct{}), arrive: make(chan struct{})}
+			accepted, err := r.Listener(&fakeListener{accepted: late}).Accept()
+			is.NoErr(err)
+			r.Observe(accepted, http.StateIdle)
+			read := make(chan int)
+			go func() {
+				n, _ := accepted.Read(make([]byte, 8))
+				read <- n
+			}()
+			<-late.reading
+			end(r, clock)
+			close(late.arrive)
+			is.Equal(<-read, 4)
+			is.True(!late.closed)
+			r.Observe(accepted, http.StateActive)
+			is.Equal(r.Busy(), 1)
+		})
+	}
+}
