Planned stop: refuse requests whose bodies have not arrived when all requests end

Callers saw connections closed without an answer at the end of the grace time while they were sending a body. A caller whose last bytes came shortly before the end could have its request read whole and got no answer either.

Cause: the wait for a body was bounded by the timeout of its route only. A stopping node ended the requests at its leaves at 0.9 of the grace time, but waited for bodies until the process ended.

Now all are refused at 0.9 of the grace time, which is true, as no leaf has got them, and their callers can go to another node.

--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -80,6 +81,7 @@
 		longestWaits map[string]statedWait
 		// targetSelectors has the selector of each route with several targets.
 		targetSelectors map[string]*weightedRoundRobin
+		bodyReads       bodyReads
 	}
 
 	// statedWait is the wait for an answer that a caller stated, and when.
@@ -94,7 +96,15 @@
 
 // New returns a Server.
 func New(c Config) *Server {
-	return &Server{config: c, longestWaits: map[string]statedWait{}, targetSelectors: map[string]*weightedRoundRobin{}}
+	return &Server{
+		config: c, longestWaits: map[string]statedWait{}, targetSelectors: map[string]*weightedRoundRobin{},
+		bodyReads: bodyReads{deadlines: map[*http.ResponseController]time.Time{}},
+	}
+}
+
+// Stop refuses, after a time, the requests whose bodies have not arrived by then.
+func (s *Server) Stop(after time.Duration) {
+	s.bodyReads.stop(time.Now().Add(after))
 }
 
 // ConnContext adds a flag to the context of a new connection, by which its first request is recognized.
@@ -168,10 +178,12 @@
 	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
 	// Limits the wait for a caller that stops in the middle of its body to the timeout of the route.
 	control := http.NewResponseController(x.writer)
-	if err := control.SetReadDeadline(x.arrivedAt.Add(x.route.Timeout)); err != nil {
+	reads := &x.server.bodyReads
+	if err := reads.begin(control, x.arrivedAt.Add(x.route.Timeout)); err != nil {
 		x.server.config.Logger.Debug("failed to set the read deadline of a request body", "request_id", x.id, "error", err)
 	}
 	body, err := io.ReadAll(reader)
+	reads.end(control)
 	if err == nil {
 		if err := control.SetReadDeadline(time.Time{}); err != nil {
 			x.server.config.Logger.Debug("failed to clear the read deadline of a request body", "request_id", x.id, "error", err)
@@ -179,9 +191,13 @@
 		return body, true
 	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		x.fail(http.StatusRequestEntityTooLarge, "body_too_large", gatherer.Result{})
-	} else {
+	case errors.Is(err, os.ErrDeadlineExceeded) && reads.ended(time.Now()):
+		x.writer.Header().Set("Connection", "close")
+		x.refuse("node_stopping", deferrer.NodeStopping, gatherer.Result{})
+	default:
 		x.writer.Header().Set("Connection", "close")
 		x.fail(http.StatusBadRequest, "body_not_read", gatherer.Result{})
 	}
--- a/internal/forward/server/server_test.go
+++ b/internal/forward/server/server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -230,6 +231,36 @@
 	is.True(time.Since(startedAt) < 2*time.Second)
 }
 
+// Guards against requests that a stopping node neither runs nor answers because their bodies arrive too slowly.
+func TestStopRefusesRequestWhoseBodyHasNotArrived(t *testing.T) {
+	for _, stopBefore := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stop before=%v", stopBefore), func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			f.draining = true
+			s := httptest.NewServer(f.server)
+			defer s.Close()
+			c, err := net.Dial("tcp", s.Listener.Addr().String())
+			is.NoErr(err)
+			if stopBefore {
+				f.server.Stop(100 * time.Millisecond)
+			}
+			_, err = io.WriteString(c, "POST /one/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 8\r\n\r\nhalf")
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond)
+			if !stopBefore {
+				f.server.Stop(50 * time.Millisecond)
+			}
+			response, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, 503)
+			is.True(response.Header.Get("Retry-After") != "")
+			is.True(response.Close)
+			is.Equal(len(f.requests), 0)
+		})
+	}
+}
+
 func TestBodyAboveLimitIsRejected(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
--- a/internal/node/forwarder/servers.go
+++ b/internal/node/forwarder/servers.go
@@ -83,6 +83,7 @@
 	startedAt, stopTime := n.config.Clock.Now(), n.settings.Load().StopTime
 	n.stopping.Store(true)
 	n.gatherer.Stop(startedAt.Add(shareOf(stopTime, stopAnswerShare)))
+	n.server.Stop(shareOf(stopTime, stopAnswerShare))
 	n.config.Logger.Info("stop began", "in_progress", n.server.InProgress())
 	n.prober.Leave()
 	go n.prober.Announce(ctx)
