Server: answer 408 to a request whose body does not arrive in time

Callers who sent a body slowly, for example over a congested link, got 400 at the timeout of the route. A 400 says that the request is faulty, so they did not send it again, although it had not run.

Cause: each failure to read a body was answered alike.

TestIncompleteBodyTimesOut expected 400; it now expects 408, which promises that the request has not run and may be sent again, and failed on the code before.

--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -197,6 +197,9 @@
 	case errors.Is(err, os.ErrDeadlineExceeded) && reads.ended(time.Now()):
 		x.writer.Header().Set("Connection", "close")
 		x.refuse("node_stopping", deferrer.NodeStopping, gatherer.Result{})
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.writer.Header().Set("Connection", "close")
+		x.fail(http.StatusRequestTimeout, "body_too_slow", gatherer.Result{})
 	default:
 		x.writer.Header().Set("Connection", "close")
 		x.fail(http.StatusBadRequest, "body_not_read", gatherer.Result{})
--- a/internal/forward/server/server_test.go
+++ b/internal/forward/server/server_test.go
@@ -215,6 +215,7 @@
 	is.Equal(len(f.requests), 0)
 }
 
+// Guards against slow requests that are answered like faulty ones, which callers do not send again.
 func TestIncompleteBodyTimesOut(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
@@ -227,7 +228,7 @@
 	is.NoErr(err)
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	is.NoErr(err)
-	is.Equal(response.StatusCode, 400)
+	is.Equal(response.StatusCode, 408)
 	is.True(time.Since(startedAt) < 2*time.Second)
 }
 
