--- a/internal/node/forwarder/servers.go
+++ b/internal/node/forwarder/servers.go
@@ -103,6 +103,7 @@
 	startedAt, schedule := n.config.Clock.Now(), scheduleStop(n.settings.Load().StopTime)
 	n.stopping.Store(true)
 	n.gatherer.Stop(schedule.answerBy)
+	n.server.Stop(schedule.answerBy)
 	n.config.Logger.Info("stop began", "in_progress", n.server.InProgress())
 	n.prober.Leave()
 	go n.prober.Announce(ctx)
