Log and metrics: requests that end without an answer, and why a process ended

The record of the incident could not tell a panic in the handling of a request, an answer that could not be written, and the end of a process without its planned stop from each other, nor which requests a process held at its end. No logic changes.

- Package tracer wraps the callers' listener: a connection that ends with an unanswered request is counted by cause, and logged unless its caller has closed it, with the request's ID, what was read and written, and the errors.
- A panic of a request is logged with ID, route, stage and stack, and counted.
The connection is closed as before.
- `stop began` has the reason; `stop takes no further connections`, `stop ends requests`, `stop complete` and the new last line `process ends` have counts, the last three up to 20 requests with what each waits for.
A server that fails is logged before the node ends.

--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -75,7 +75,20 @@
 		store.SetAddress(s.StoreAddress)
 		n.Reload(reloadableSettings(s))
 	})
-	return n.Run(ctx)
+	err = n.Run(ctx)
+	logWriter.Close()
+	logEnd(ctx, slog.New(slog.NewTextHandler(c.Output, nil)).With("node", s.NodeName), n, logWriter.DroppedLines(), err)
+	return err
+}
+
+// logEnd writes the last line of the process. The logger must not drop it.
+func logEnd(ctx context.Context, logger *slog.Logger, n *forwarder.Node, droppedLines uint64, err error) {
+	reason := err
+	if reason == nil {
+		reason = context.Cause(ctx)
+	}
+	logger.Info("process ends", "reason", reason.Error(), "in_progress", n.InProgress(),
+		"requests", n.RequestsInProgress(), "log_lines_dropped", droppedLines)
 }
 
 // watchSettings calls reload with the settings after SIGHUP and when it finds that the file has changed.
--- a/internal/discovery/reaper/connection.go
+++ b/internal/discovery/reaper/connection.go
@@ -94,3 +94,8 @@
 	}
 	return w.CloseWrite()
 }
+
+// NetConn returns the connection that is wrapped.
+func (c *connection) NetConn() net.Conn {
+	return c.Conn
+}
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/forward/deferrer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
+	"github.com/magnoliastep/magnoliastep/internal/forward/tracer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
 )
 
@@ -65,6 +66,8 @@
 		Draining func() bool
 		// Observe is called at the end of each request with its outcome, duration and result.
 		Observe func(route, outcome string, took time.Duration, r gatherer.Result)
+		// OnPanic, if not nil, is called when the handling of a request has panicked.
+		OnPanic func()
 		Logger  *slog.Logger
 		// Random returns random numbers from 0 to 1. It is safe for concurrent use.
 		Random func() float64
@@ -75,6 +78,7 @@
 		config Config
 		// inProgress counts the requests in progress.
 		inProgress atomic.Int64
+		progress   progress
 		mutex      sync.Mutex
 		// longestWaits has the longest wait that callers of each route have stated recently.
 		longestWaits map[string]statedWait
@@ -94,7 +98,10 @@
 
 // New returns a Server.
 func New(c Config) *Server {
-	return &Server{config: c, longestWaits: map[string]statedWait{}, targetSelectors: map[string]*weightedRoundRobin{}}
+	return &Server{
+		config: c, longestWaits: map[string]statedWait{}, targetSelectors: map[string]*weightedRoundRobin{},
+		progress: progress{requests: map[*exchange]struct{}{}},
+	}
 }
 
 // ConnContext adds a flag to the context of a new connection, by which its first request is recognized.
@@ -114,6 +121,8 @@
 	x := &exchange{
 		server: s, writer: w, request: r, id: r.Header.Get(s.config.HeaderNames.RequestID), arrivedAt: time.Now(),
 	}
+	defer x.handlePanic()
+	tracer.SetRequestID(r.Context(), x.id)
 	if x.id == "" {
 		x.fail(http.StatusBadRequest, "no_request_id", gatherer.Result{})
 		return
@@ -134,6 +143,8 @@
 		return
 	}
 	x.route, x.version = route, m.Version()
+	s.progress.add(x)
+	defer s.progress.remove(x)
 	body, ok := x.readBody(m.Limits().MaxBodyBytes)
 	if !ok {
 		return
@@ -150,6 +161,7 @@
 	route     *matcher.Route
 	version   int64
 	arrivedAt time.Time
+	stage     atomic.Int32
 	// remaining is how long the caller waits for the answer after arrivedAt.
 	remaining time.Duration
 	// retryAfter is the delay that a refused caller is told; 0 for a request that is not refused.
@@ -190,6 +202,7 @@
 
 // run has leaves run the request and writes the answer.
 func (x *exchange) run(body []byte) {
+	x.stage.Store(stageLeaves)
 	x.remaining = x.timeLeft()
 	timeSpent := x.timeSpent()
 	x.services = x.route.Shards
@@ -206,6 +219,7 @@
 		Target:  x.route.TargetLatency - outboundDelay,
 		Timeout: timeSpent + timeout - outboundDelay,
 	})
+	x.stage.Store(stageAnswer)
 	x.write(result)
 }
 
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
 	"github.com/magnoliastep/magnoliastep/internal/forward/server"
+	"github.com/magnoliastep/magnoliastep/internal/forward/tracer"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/records/bootstrapper"
@@ -131,6 +132,7 @@
 		elector    *elector.Elector
 		activator  *activator.Activator
 		reaper     *reaper.Reaper
+		tracer     *tracer.Tracer
 		gossiper   *gossiper.Gossiper
 		// bootstrapper brings this node its first documents.
 		bootstrapper *bootstrapper.Bootstrapper
@@ -164,18 +166,20 @@
 		FallbackJitter: rand.N(maxFallbackReaderJitter), //nolint:gosec // spreads load only
 	})
 	n.reaper = reaper.New(reaper.Config{Timeout: n.idleTimeout, Clock: c.Clock})
+	n.tracer = tracer.New(tracer.Config{OnUnanswered: n.observeUnanswered, Logger: c.Logger})
 	n.assembleFleet()
 	n.assembleLeaves()
 	n.assembleRecords()
 	n.server = server.New(server.Config{
 		Gatherer: n.gatherer, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load, ConfigCurrent: n.configurationCurrent,
-		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest, Logger: c.Logger,
-		Random: rand.Float64,
+		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest,
+		OnPanic: c.Metrics.NewCounter(`stepfront_panics_total{work="request"}`).Inc, Logger: c.Logger, Random: rand.Float64,
 	})
 	n.selector = selector.New(selector.Config{
 		View: n.prober, Leaves: n.leafSummary, KeepFor: directoryTTL(c.DirectoryTime),
 	})
 	n.registerGauges()
+	n.registerUnanswered()
 	return n
 }
 
@@ -264,8 +268,10 @@
 	n.config.Logger.Info("node started", "caller_address", n.config.CallerAddress, "zone", n.config.AvailabilityZone)
 	select {
 	case err = <-failures:
+		n.config.Logger.Error("server failed; the node ends without a planned stop", "error", err,
+			"in_progress", n.server.InProgress(), "requests", n.RequestsInProgress())
 	case <-ctx.Done():
-		n.stop(background, servers)
+		n.stop(background, servers, context.Cause(ctx).Error())
 	}
 	n.messenger.Close()
 	return err
--- a/internal/node/forwarder/servers.go
+++ b/internal/node/forwarder/servers.go
@@ -8,6 +8,7 @@
 
 	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
 	"github.com/magnoliastep/magnoliastep/internal/forward/server"
+	"github.com/magnoliastep/magnoliastep/internal/forward/tracer"
 )
 
 const (
@@ -32,7 +33,9 @@
 	callers := newServer(n.config.CallerAddress, n.server)
 	callers.IdleTimeout = 0
 	callers.ConnState = n.reaper.Observe
-	callers.ConnContext = func(ctx context.Context, _ net.Conn) context.Context { return server.ConnContext(ctx) }
+	callers.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return tracer.NewContext(server.ConnContext(ctx), c)
+	}
 	servers := []*http.Server{
 		callers,
 		newServer(n.config.ReadinessAddress, n.config.ReadinessHandler(n.Ready)),
@@ -52,7 +55,7 @@
 	}
 	if s.Addr == n.config.CallerAddress {
 		n.callerListener.Store(&l)
-		l = n.reaper.Listener(l)
+		l = n.reaper.Listener(n.tracer.Listener(l))
 	}
 	return s.Serve(l)
 }
@@ -79,16 +82,20 @@
 
 // stop keeps serving until callers have learned that this node is leaving, then takes no further connections and lets
 // requests in progress end.
-func (n *Node) stop(ctx context.Context, servers []*http.Server) {
+func (n *Node) stop(ctx context.Context, servers []*http.Server, reason string) {
 	startedAt, stopTime := n.config.Clock.Now(), n.settings.Load().StopTime
 	n.stopping.Store(true)
 	n.gatherer.Stop(startedAt.Add(shareOf(stopTime, stopAnswerShare)))
-	n.config.Logger.Info("stop began", "in_progress", n.server.InProgress())
+	n.config.Logger.Info("stop began", "reason", reason, "in_progress", n.server.InProgress(),
+		"open_connections", n.reaper.Busy())
 	n.prober.Leave()
 	go n.prober.Announce(ctx)
+	go n.logRequestsEnding(ctx, shareOf(stopTime, stopAnswerShare))
 	sleeper.Sleep(ctx, n.config.Clock, shareOf(stopTime, stopServeShare))
 	finish, cancel := context.WithTimeout(ctx, shareOf(stopTime, stopFinishShare-stopServeShare))
 	defer cancel()
+	n.config.Logger.Info("stop takes no further connections", "in_progress", n.server.InProgress(),
+		"open_connections", n.reaper.Busy())
 	n.drainCallers(finish)
 	for _, s := range servers[1:] {
 		if err := s.Shutdown(finish); err != nil {
@@ -96,7 +103,7 @@
 		}
 	}
 	n.config.Logger.Info("stop complete", "in_progress", n.server.InProgress(), "open_connections", n.reaper.Busy(),
-		"took", n.config.Clock.Since(startedAt))
+		"requests", n.RequestsInProgress(), "took", n.config.Clock.Since(startedAt))
 }
 
 // drainCallers takes no further connections of callers and waits until all requests in progress have been answered, at
