Signals: received from the start of the process to its end

Callers would see a node that ends by itself: a SIGHUP or SIGTERM while a process starts ended it (`signal: hangup`), a further SIGTERM or SIGINT at the end of a planned stop killed it and lost the last lines of its log, and once the reader of its output was gone its next line ended it with all its requests (`signal: broken pipe`).

Cause: the commands set the handlers up after the settings had been read, SIGHUP's in a goroutine, and gave those for SIGTERM back before the log was written to its end; nothing handled SIGPIPE.

--- a/cmd/stepd/main.go
+++ b/cmd/stepd/main.go
@@ -5,8 +5,12 @@
 	"os"
 
 	"github.com/magnoliastep/magnoliastep/internal/command/daemon"
+	"github.com/magnoliastep/magnoliastep/internal/command/signaler"
 )
 
 func main() {
-	os.Exit(daemon.New(daemon.Config{Arguments: os.Args[1:], Output: os.Stdout, Errors: os.Stderr}).Run())
+	signals := signaler.New()
+	os.Exit(daemon.New(daemon.Config{
+		Arguments: os.Args[1:], Output: os.Stdout, Errors: os.Stderr, Signals: signals,
+	}).Run())
 }
--- a/cmd/stepfront/main.go
+++ b/cmd/stepfront/main.go
@@ -5,10 +5,12 @@
 	"os"
 
 	"github.com/magnoliastep/magnoliastep/internal/command/frontend"
+	"github.com/magnoliastep/magnoliastep/internal/command/signaler"
 )
 
 func main() {
+	signals := signaler.New()
 	os.Exit(frontend.New(frontend.Config{
-		Arguments: os.Args[1:], Output: os.Stdout, Errors: os.Stderr, Getenv: os.Getenv,
+		Arguments: os.Args[1:], Output: os.Stdout, Errors: os.Stderr, Getenv: os.Getenv, Signals: signals,
 	}).Run())
 }
--- a/internal/command/daemon/check.go
+++ b/internal/command/daemon/check.go
@@ -17,6 +17,7 @@
 
 // Run executes the command.
 func (v *checkCommand) Run(s *streams) error {
+	s.signals.Release()
 	if _, err := readSettings(v.Settings); err != nil {
 		return err
 	}
--- a/internal/command/daemon/daemon.go
+++ b/internal/command/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/magnoliastep/magnoliastep/internal/command/parser"
+	"github.com/magnoliastep/magnoliastep/internal/command/signaler"
 )
 
 const (
@@ -20,6 +21,8 @@
 		Arguments []string
 		Output    io.Writer
 		Errors    io.Writer
+		// Signals has received all signals since the start of the process.
+		Signals *signaler.Signaler
 	}
 
 	// Daemon is one run of the program.
@@ -33,10 +36,11 @@
 		Check checkCommand `cmd:"" help:"Check a settings file and name every invalid field."`
 	}
 
-	// streams holds the output streams of the commands.
+	// streams holds the output streams of the commands, and the signals.
 	streams struct {
-		output io.Writer
-		errors io.Writer
+		output  io.Writer
+		errors  io.Writer
+		signals *signaler.Signaler
 	}
 )
 
@@ -52,7 +56,7 @@
 		Program: programName, Description: "The query tier's node: serves callers, operators and other nodes.",
 		Commands: commandLine, Arguments: d.config.Arguments, Output: d.config.Output, Errors: d.config.Errors,
 		Run: func(parsed *kong.Context) error {
-			return parsed.Run(&streams{output: d.config.Output, errors: d.config.Errors})
+			return parsed.Run(&streams{output: d.config.Output, errors: d.config.Errors, signals: d.config.Signals})
 		},
 	}).Run()
 }
--- a/internal/command/frontend/check.go
+++ b/internal/command/frontend/check.go
@@ -13,6 +13,7 @@
 
 // Run prints the main settings.
 func (v *checkCommand) Run(c *Config) error {
+	c.Signals.Release()
 	s, err := platform.ReadSettings(settingsPath(v.Settings, c))
 	if err != nil {
 		return err
--- a/internal/command/frontend/frontend.go
+++ b/internal/command/frontend/frontend.go
@@ -8,6 +8,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/magnoliastep/magnoliastep/internal/command/parser"
+	"github.com/magnoliastep/magnoliastep/internal/command/signaler"
 )
 
 const (
@@ -22,6 +23,8 @@
 		Errors    io.Writer
 		// Getenv returns the value of an environment variable.
 		Getenv func(name string) string
+		// Signals has received all signals since the start of the process.
+		Signals *signaler.Signaler
 	}
 
 	// Frontend is one run of the program.
--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -6,10 +6,8 @@
 	"log/slog"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -58,8 +56,7 @@
 		return err
 	}
 	logger := slog.New(slog.NewTextHandler(logWriter, &slog.HandlerOptions{Level: level})).With("node", s.NodeName)
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
+	ctx := c.Signals.Context()
 	set := metrics.NewSet()
 	clock := timekeeper.New(timekeeper.Config{Clock: quartz.NewReal()})
 	store := platform.NewStore(platform.StoreConfig{
@@ -95,8 +92,6 @@
 func (v *runCommand) watchSettings(
 	ctx context.Context, c *Config, logger *slog.Logger, reload func(s platform.Settings),
 ) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsPollPeriod)
 	defer ticker.Stop()
 	path := settingsPath(v.Settings, c)
@@ -109,7 +104,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-sighup:
+		case <-c.Signals.Reloads():
 			forced = true
 		case <-ticker.C:
 		}
--- a/internal/node/assembler/assembler.go
+++ b/internal/node/assembler/assembler.go
@@ -171,6 +171,10 @@
 
 // serve runs the three servers until the context ends or one of them fails.
 func (n *Node) serve(ctx context.Context) error {
+	if ctx.Err() != nil {
+		n.config.Logger.Info("node ends before it has started", "reason", context.Cause(ctx))
+		return nil
+	}
 	peers, err := (&net.ListenConfig{}).Listen(ctx, "tcp", n.config.Settings.GetPeerAddress())
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -249,7 +249,11 @@
 func (n *Node) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	peers, err := (&net.ListenConfig{}).Listen(ctx, "tcp", n.config.PeerAddress)
+	if ctx.Err() != nil {
+		n.config.Logger.Info("node ends before it has started", "reason", context.Cause(ctx))
+		return nil
+	}
+	peers, err := (&net.ListenConfig{}).Listen(background, "tcp", n.config.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
