Servers: a failure cuts no request, and passing errors end nothing

Callers would see all requests of a node cut at once when one connection of another node could not be accepted (too many open files, a connection aborted before it was accepted), when the port of its metrics was in use, or its own ports still for a moment.

Cause: messenger.Serve returned on the first error of Accept, and a server that returned ended the node without its planned stop. Serve tries again after a pause until its listener is closed. An address in use is tried again for the grace time that the process before has. Metrics are served when possible. After another failure of a server the node makes its planned stop and returns the error; one that has never listened for callers ends at once.

--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -113,9 +113,11 @@
 		// DirectoryHandler answers callers that ask where to connect, and ReadinessHandler answers the platform.
 		DirectoryHandler func(n *selector.Selector, ready func() bool) http.Handler
 		ReadinessHandler func(ready func() bool) http.Handler
-		Clock            quartz.Clock
-		Logger           *slog.Logger
-		Metrics          *metrics.Set
+		// Listen opens a listener for an address; nil means TCP.
+		Listen  func(ctx context.Context, address string) (net.Listener, error)
+		Clock   quartz.Clock
+		Logger  *slog.Logger
+		Metrics *metrics.Set
 	}
 
 	// Node forwards the requests of callers. All its parts run until the context of Run ends.
@@ -159,6 +161,9 @@
 
 // New assembles a node. It does nothing until Run is called.
 func New(c Config) *Node {
+	if c.Listen == nil {
+		c.Listen = listenTCP
+	}
 	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}}
 	n.settings.Store(&c.ReloadableSettings)
 	n.elector = elector.New(elector.Config{
@@ -244,8 +249,8 @@
 	return budgeter.Config{Share: s.RetryShare, Slack: s.RetrySlack}
 }
 
-// Run runs the node until the context ends, then makes a planned stop. If a server fails, it returns that server's
-// error at once, without the planned stop.
+// Run runs the node until the context ends, then makes a planned stop. If a server fails without which the node can't
+// serve, it makes the planned stop, too, and returns that server's error.
 func (n *Node) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -253,29 +258,27 @@
 		n.config.Logger.Info("node ends before it has started", "reason", context.Cause(ctx))
 		return nil
 	}
-	peers, err := (&net.ListenConfig{}).Listen(background, "tcp", n.config.PeerAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for peers")
-	}
-	defer func() { _ = peers.Close() }()
 	failures := make(chan error, 8)
-	go func() { failures <- errors.Wrap(n.messenger.Serve(peers), "serve peers") }()
+	go func() { failures <- errors.Wrap(n.servePeers(ctx, background), "serve peers") }()
 	servers := n.servers()
 	for _, s := range servers {
 		go func() {
-			if err := n.serve(background, s); !errors.Is(err, http.ErrServerClosed) {
+			if err := n.serve(ctx, s); !errors.Is(err, http.ErrServerClosed) {
 				failures <- errors.Wrapf(err, "serve %s", s.Addr)
 			}
 		}()
 	}
+	if n.config.MetricsAddress != "" {
+		go n.runMetricsServer(background)
+	}
 	n.startLoops(background)
 	n.config.Logger.Info("node started", "caller_address", n.config.CallerAddress, "zone", n.config.AvailabilityZone)
+	var err error
 	select {
-	case err = <-failures:
-		n.config.Logger.Error("server failed; the node ends without a planned stop", "error", err,
-			"in_progress", n.server.InProgress(), "requests", n.RequestsInProgress())
 	case <-ctx.Done():
 		n.stop(background, servers, context.Cause(ctx).Error())
+	case err = <-failures:
+		n.handleFailure(background, servers, err)
 	}
 	n.messenger.Close()
 	return err
--- a/internal/node/forwarder/servers.go
+++ b/internal/node/forwarder/servers.go
@@ -28,7 +28,7 @@
 	stopPollPeriod = 5 * time.Millisecond
 )
 
-// servers returns the servers of the node; the first one serves callers.
+// servers returns the servers without which the node can't serve; the first one serves callers.
 func (n *Node) servers() []*http.Server {
 	callers := newServer(n.config.CallerAddress, n.server)
 	callers.IdleTimeout = 0
@@ -36,20 +36,16 @@
 	callers.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return tracer.NewContext(server.ConnContext(ctx), c)
 	}
-	servers := []*http.Server{
+	return []*http.Server{
 		callers,
 		newServer(n.config.ReadinessAddress, n.config.ReadinessHandler(n.Ready)),
 		newServer(n.config.DirectoryAddress, n.config.DirectoryHandler(n.selector, n.Ready)),
 	}
-	if n.config.MetricsAddress != "" {
-		servers = append(servers, newServer(n.config.MetricsAddress, http.HandlerFunc(n.serveMetrics)))
-	}
-	return servers
 }
 
-// serve runs a server until it is shut down or fails.
+// serve runs a server until it is shut down or fails. When the context ends, it does not begin to listen any more.
 func (n *Node) serve(ctx context.Context, s *http.Server) error {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Addr)
+	l, err := n.listen(ctx, s.Addr)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -75,7 +75,8 @@
 		IdleLinkThreshold int
 		// OnFrameSent is called for each frame that was written, with the schema's name of its body; it may be nil.
 		OnFrameSent func(kind string, bytes int)
-		Logger      *slog.Logger
+		// Logger may be nil.
+		Logger *slog.Logger
 	}
 
 	// Messenger holds the links to all peers. It is safe for concurrent use.
@@ -107,6 +108,9 @@
 	if c.IdleLinkThreshold == 0 {
 		c.IdleLinkThreshold = defaultIdleLinkThreshold
 	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
 	return &Messenger{
 		config:   c,
 		links:    map[string]*link{},
@@ -201,17 +205,6 @@
 	}
 }
 
-// Serve accepts connections from peers until the listener is closed.
-func (m *Messenger) Serve(listener net.Listener) error {
-	for {
-		connection, err := listener.Accept()
-		if err != nil {
-			return errors.Wrap(err, "accept peer")
-		}
-		go m.serveConnection(connection)
-	}
-}
-
 // Close closes all links and all sessions that peers opened.
 func (m *Messenger) Close() {
 	m.mutex.Lock()
