Requests whose handling panics are answered

Callers saw a connection closed without an answer when the handling of a request panicked, also after the leaf had answered (as with `route-name`). Cause: net/http recovers and closes the connection.

The request is answered 502, as it may have run, never 503. If only the recording of the outcome panics, the answer is delivered; an answer that was begun is broken off, so that it does not look complete.

Seen to fail on the commit before: TestRequestWhoseHandlingPanicsIsAnswered (panics with net/http's ErrAbortHandler).

--- a/internal/forward/server/answer.go
+++ b/internal/forward/server/answer.go
@@ -131,9 +131,11 @@
 	if x.request.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified {
 		x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	x.answer = answerBegun
 	x.writer.WriteHeader(status)
 	// A write fails only if the caller has disconnected.
 	_, _ = x.writer.Write(body)
+	x.answer = answerWritten
 }
 
 // noRoute answers a request for which there is no route. It answers 404 only if the configuration is known to
--- a/internal/forward/server/panic_test.go
+++ b/internal/forward/server/panic_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/server"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
 )
 
 // panickingGatherer panics with each request.
@@ -42,16 +43,16 @@
 	return r
 }
 
-// Guards against a panic that closes a connection without a line that names the request.
-func TestPanicOfRequestIsLoggedAndCounted(t *testing.T) {
+// Guards against a panic that closes the connection of a request without an answer.
+func TestRequestWhoseHandlingPanicsIsAnswered(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
 	panics := 0
 	s := newServerWith(f, panickingGatherer{}, func() { panics++ })
-	func() {
-		defer func() { is.Equal(recover(), http.ErrAbortHandler) }() // net/http closes the connection
-		s.ServeHTTP(httptest.NewRecorder(), newRequest("/one/x"))
-	}()
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, newRequest("/one/x"))
+	is.Equal(w.Code, http.StatusBadGateway) // it may have run
+	is.Equal(w.Header().Get("Id"), "r1")
 	is.Equal(panics, 1)
 	is.Equal(s.InProgress(), int64(0))
 	is.Equal(len(s.RequestsInProgress(9)), 0)
@@ -60,6 +61,41 @@
 	}
 }
 
+// Guards against an answer that is lost because its outcome can't be recorded.
+func TestAnswerSurvivesPanicAfterIt(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.result = gatherer.Result{Parts: []*exchanger.Reply{reply(200, "hello", "s1")}}
+	c := f.serverConfig()
+	c.Observe = func(string, string, time.Duration, gatherer.Result) { panic("fault") }
+	callers := httptest.NewServer(server.New(c))
+	defer callers.Close()
+	for path, status := range map[string]int{"/one/x": 200, "/none/x": 404} {
+		r, err := http.NewRequest(http.MethodGet, callers.URL+path, nil)
+		is.NoErr(err)
+		r.Host = "h"
+		r.Header.Set("Id", "r1")
+		w, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		is.Equal(w.StatusCode, status)
+		is.NoErr(w.Body.Close())
+	}
+}
+
+// Guards against an answer that broke off and looks complete.
+func TestPanicDuringAnswerAbortsIt(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	f.result = gatherer.Result{Parts: []*exchanger.Reply{reply(200, "hello", "s1")}}
+	defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+	f.server.ServeHTTP(panickingWriter{httptest.NewRecorder()}, newRequest("/one/x"))
+}
+
+// panickingWriter panics when the body is written.
+type panickingWriter struct{ *httptest.ResponseRecorder }
+
+func (panickingWriter) Write([]byte) (int, error) { panic("fault") }
+
 // Guards against the end of a process of which nobody can tell which requests it held.
 func TestRequestsInProgressAreNamedOldestFirst(t *testing.T) {
 	is := is.New(t)
@@ -82,4 +118,3 @@
 	}
 	is.Equal(len(s.RequestsInProgress(9)), 0)
 }
-
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -162,6 +162,7 @@
 	version   int64
 	arrivedAt time.Time
 	stage     atomic.Int32
+	answer    answerState
 	// remaining is how long the caller waits for the answer after arrivedAt.
 	remaining time.Duration
 	// retryAfter is the delay that a refused caller is told; 0 for a request that is not refused.
