Calls that panic count as failed calls

Callers would see all requests of a node cut at once: a call to a leaf runs on its own goroutine, so that its panic ends the process. It is a failed call now that may have run; the request is sent again if it may be repeated, else answered 502. The panic is logged with request and leaf, and counted.

Seen to fail with the call started directly: TestPanicOfCallIsFailureOfThatCall ends the test binary with the panic.

--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -20,8 +20,9 @@
 
 // call makes one call and reports its end as an event. It runs on its own goroutine. A droppable call is not sent
 // if its answer can't be in time.
-func (n *run) call(shardIndex, attemptIndex int, leaf *balancer.Leaf, state *sendState, droppable bool) {
-	startedAt := time.Now()
+func (n *run) call(
+	startedAt time.Time, shardIndex, attemptIndex int, leaf *balancer.Leaf, state *sendState, droppable bool,
+) {
 	leaf.Scorer().Begin(startedAt)
 	sentAt := time.Time{}
 	message := n.request.Message
@@ -119,6 +120,8 @@
 		return "left"
 	case errors.Is(e.err, exchanger.ErrNotSent):
 		return "not_connected"
+	case errors.Is(e.err, errPanicked):
+		return "panicked"
 	case e.err != nil:
 		return "no_answer"
 	case e.reply.Unidentified:
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -61,6 +61,9 @@
 		Nodes func() int
 		// Misdirected, if not nil, is called with a leaf when another process has answered at its address.
 		Misdirected func(leaf *balancer.Leaf)
+		// OnPanic, if not nil, is called when a call has panicked, on its goroutine, with the request's ID and the value of
+		// the panic.
+		OnPanic func(requestID string, leaf *balancer.Leaf, value any)
 	}
 
 	// Request is one request of a caller.
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/forward/server"
 	"github.com/magnoliastep/magnoliastep/internal/forward/tracer"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
+	"github.com/magnoliastep/magnoliastep/internal/invariant/isolator"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/records/bootstrapper"
 	"github.com/magnoliastep/magnoliastep/internal/records/elector"
@@ -135,6 +136,7 @@
 		activator  *activator.Activator
 		reaper     *reaper.Reaper
 		tracer     *tracer.Tracer
+		isolator   *isolator.Isolator
 		gossiper   *gossiper.Gossiper
 		// bootstrapper brings this node its first documents.
 		bootstrapper *bootstrapper.Bootstrapper
@@ -171,6 +173,7 @@
 		FallbackJitter: rand.N(maxFallbackReaderJitter), //nolint:gosec // spreads load only
 	})
 	n.reaper = reaper.New(reaper.Config{Timeout: n.idleTimeout, Clock: c.Clock})
+	n.isolator = isolator.New(isolator.Config{Logger: c.Logger, OnPanic: n.countPanic})
 	n.tracer = tracer.New(tracer.Config{OnUnanswered: n.observeUnanswered, Logger: c.Logger})
 	n.assembleFleet()
 	n.assembleLeaves()
@@ -178,13 +181,14 @@
 	n.server = server.New(server.Config{
 		Gatherer: n.gatherer, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load, ConfigCurrent: n.configurationCurrent,
 		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest,
-		OnPanic: c.Metrics.NewCounter(`stepfront_panics_total{work="request"}`).Inc, Logger: c.Logger, Random: rand.Float64,
+		OnPanic: func() { n.countPanic(workRequest) }, Logger: c.Logger, Random: rand.Float64,
 	})
 	n.selector = selector.New(selector.Config{
 		View: n.prober, Leaves: n.leafSummary, KeepFor: directoryTTL(c.DirectoryTime),
 	})
 	n.registerGauges()
 	n.registerUnanswered()
+	n.registerPanics()
 	return n
 }
 
@@ -232,6 +236,9 @@
 		Misdirected: func(l *balancer.Leaf) {
 			c.Logger.Info("leaf answered for another", "leaf", l.Entry().ID, "address", l.Entry().Address)
 		},
+		OnPanic: func(requestID string, l *balancer.Leaf, value any) {
+			n.isolator.Report(workCall, value, "request_id", requestID, "leaf", l.Entry().ID)
+		},
 	})
 }
 
