Panics over a frame or document of others end nothing else

Callers would see all requests of a node cut at once, possibly on all nodes, if a document or frame of others made its handling panic.

Frames, replies to probes, pulls and documents are handled in isolation: a panic is logged and counted, the last configuration stays in force, and a pull that panics does not keep later ones from starting. Violated invariants still end the process.

Seen to fail with an isolator that recovers from nothing: TestPanicOverDocumentOrFrameEndsNothingElse.

--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -49,8 +49,12 @@
 	ranker  *ranker.Ranker
 }
 
-// HandleFrame handles a frame from another node.
+// HandleFrame handles a frame from another node. A panic ends only the handling of this frame.
 func (n *Node) HandleFrame(ctx context.Context, f *pb.Frame, reply func(*pb.Frame)) {
+	_ = n.isolator.Run(workFrame, func() { n.handleFrame(ctx, f, reply) }, "from", f.GetFrom())
+}
+
+func (n *Node) handleFrame(ctx context.Context, f *pb.Frame, reply func(*pb.Frame)) {
 	switch body := f.GetBody().(type) {
 	case *pb.Frame_Probe:
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_ProbeReply{ProbeReply: n.prober.HandleProbe(body.Probe)}})
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -214,7 +214,7 @@
 		ProbePeriod: probePeriod, ProbeTimeout: probeTimeout, SuspicionPeriod: suspicionPeriod,
 		FilterTargets: func(names []string) []string { return linker.ChoosePeers(names, c.NodeName) },
 		SeedPeers:     n.otherSeeds(), Load: func() uint32 { return uint32(n.server.InProgress()) },
-		Helpers: n.helpers.Load, OnDeath: n.messenger.CloseLink,
+		Helpers: n.helpers.Load, OnDeath: n.messenger.CloseLink, Isolate: n.isolateFrame,
 	})
 }
 
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -48,7 +48,7 @@
 func (n *Node) assembleRecords() {
 	c := n.config
 	n.patcher = patcher.New()
-	n.activator = activator.New(activator.Config{Activate: n.activateConfiguration, Clock: c.Clock})
+	n.activator = activator.New(activator.Config{Activate: n.tryConfiguration, Clock: c.Clock})
 	n.replicator = replicator.New(replicator.Config{Clock: c.Clock, OnChange: n.documentChanged})
 	kinds := []string{c.Kinds.Configuration, c.Kinds.Leaves, c.Kinds.Evacuations}
 	n.gossiper = gossiper.New(gossiper.Config{
@@ -56,7 +56,7 @@
 		Patcher: n.patcher, Peers: n.linkedPeers,
 		ForwardChanges: func() bool { return !linker.FullMesh(len(n.prober.Members())) },
 		Clock:          c.Clock, Logger: c.Logger,
-		OnDocuments: n.observeTransfer,
+		OnDocuments: n.observeTransfer, Isolate: n.isolateFrame,
 	})
 	n.bootstrapper = bootstrapper.New(bootstrapper.Config{
 		Seeds: func() []string { return shuffle(n.otherSeeds()) }, IsSeed: n.isSeed, FirstStart: c.FirstStart,
@@ -120,8 +120,13 @@
 	a.announce()
 }
 
-// documentChanged applies a document that is new to this node.
+// documentChanged applies a document that is new to this node. A panic leaves out this document only.
 func (n *Node) documentChanged(d replicator.Document, confirmedBefore time.Time) {
+	_ = n.isolator.Run(workDocument, func() { n.applyDocument(d, confirmedBefore) }, "kind", d.Kind, "document", d.Name,
+		"revision", d.Revision)
+}
+
+func (n *Node) applyDocument(d replicator.Document, confirmedBefore time.Time) {
 	n.patcher.Record(d)
 	switch d.Kind {
 	case n.config.Kinds.Configuration:
@@ -133,6 +138,12 @@
 	}
 }
 
+// tryConfiguration activates a configuration. If that panics, the last one stays in force.
+func (n *Node) tryConfiguration(d replicator.Document, confirmedBefore time.Time) {
+	_ = n.isolator.Run(workDocument, func() { n.activateConfiguration(d, confirmedBefore) }, "kind", d.Kind,
+		"document", d.Name, "revision", d.Revision)
+}
+
 // activateConfiguration puts a version of the configuration in force unless it is older than the one in force.
 func (n *Node) activateConfiguration(d replicator.Document, confirmedBefore time.Time) {
 	if d.Deleted {
--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -81,7 +81,10 @@
 		Clock          quartz.Clock
 		// OnDocuments is called for each pull that brought documents.
 		OnDocuments func(Transfer)
-		Logger      *slog.Logger
+		// Isolate calls a function that handles answers of other nodes, and returns an error if that panics; nil means that
+		// panics are not handled.
+		Isolate func(f func()) error
+		Logger  *slog.Logger
 	}
 
 	// Transfer describes the documents that one pull has brought.
--- a/internal/records/gossiper/pull.go
+++ b/internal/records/gossiper/pull.go
@@ -47,6 +47,17 @@
 		return nil
 	}
 	defer g.endPull(address)
+	if g.config.Isolate == nil {
+		return g.pull(ctx, address)
+	}
+	var failure error
+	if err := g.config.Isolate(func() { failure = g.pull(ctx, address) }); err != nil {
+		return err
+	}
+	return failure
+}
+
+func (g *Gossiper) pull(ctx context.Context, address string) error {
 	partial := g.takePartial(g.config.Patcher.Held())
 	transfer := Transfer{}
 	startedAt := g.config.Clock.Now()
--- a/internal/view/prober/prober.go
+++ b/internal/view/prober/prober.go
@@ -66,6 +66,9 @@
 		Helpers func() uint32
 		// OnDeath is called with the peer address of each node that this node declares dead; nil means no call.
 		OnDeath func(address string)
+		// Isolate calls a function that handles replies of other nodes, and returns an error if that panics; nil means that
+		// panics are not handled.
+		Isolate func(f func()) error
 	}
 
 	// Prober keeps the view of live nodes. It is safe for concurrent use.
@@ -83,6 +86,9 @@
 
 // New returns a Prober that knows only this node.
 func New(c Config) *Prober {
+	if c.Isolate == nil {
+		c.Isolate = callDirectly
+	}
 	p := &Prober{config: c, inFlight: make(chan struct{}, maxProbesInFlight), loggedGeneration: 1}
 	p.detector = detector.New(detector.Config{
 		Self: c.Self, SuspicionPeriod: c.SuspicionPeriod, ProbePeriod: c.ProbePeriod,
@@ -185,7 +191,12 @@
 	var probes sync.WaitGroup
 	for _, a := range addresses {
 		probes.Go(func() {
-			if _, err := p.probe(ctx, a); err != nil {
+			answered := false
+			_ = p.config.Isolate(func() {
+				_, err := p.probe(ctx, a)
+				answered = err == nil
+			})
+			if !answered {
 				unanswered <- a
 			}
 		})
@@ -252,7 +263,7 @@
 	for _, t := range targets {
 		select {
 		case p.inFlight <- struct{}{}:
-			go p.probeTarget(ctx, t, now)
+			go func() { _ = p.config.Isolate(func() { p.probeTarget(ctx, t, now) }) }()
 		default:
 		}
 	}
@@ -314,7 +325,11 @@
 	p.mutex.Unlock()
 	answers := make(chan bool, len(relays))
 	for _, a := range relays {
-		go func() { answers <- p.requestIndirectProbe(ctx, a, t.Address) }()
+		go func() {
+			answered := false
+			_ = p.config.Isolate(func() { answered = p.requestIndirectProbe(ctx, a, t.Address) })
+			answers <- answered
+		}()
 	}
 	for range relays {
 		if <-answers {
@@ -375,3 +390,8 @@
 	}
 	return rumours[0].GetPeerAddress()
 }
+
+func callDirectly(f func()) error {
+	f()
+	return nil
+}
