Loops that panic end the node by its planned stop

Callers would see all requests of a node cut at once if a background loop panicked. The state of the loop, and what it may have locked, is not known afterwards, so it is not started again: the node makes its planned stop and returns the error, and the platform starts it again.

Seen to fail with an isolator that recovers from nothing: TestPanicOfLoopCutsNoRequest ends the test binary with the panic.

--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -156,6 +156,8 @@
 		helpers atomic.Uint32
 		// joined is set for good once another node has been known.
 		joined atomic.Bool
+		// failures receives the errors of servers and loops without which this node can't go on.
+		failures chan error
 		// fleet is the cached result of currentFleet; nil before its first call.
 		fleet atomic.Pointer[fleetState]
 	}
@@ -166,7 +168,7 @@
 	if c.Listen == nil {
 		c.Listen = listenTCP
 	}
-	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}}
+	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}, failures: make(chan error, 8)}
 	n.settings.Store(&c.ReloadableSettings)
 	n.elector = elector.New(elector.Config{
 		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
@@ -256,8 +258,8 @@
 	return budgeter.Config{Share: s.RetryShare, Slack: s.RetrySlack}
 }
 
-// Run runs the node until the context ends, then makes a planned stop. If a server fails without which the node can't
-// serve, it makes the planned stop, too, and returns that server's error.
+// Run runs the node until the context ends, then makes a planned stop. If a server or loop fails without which the node
+// can't serve, it makes the planned stop, too, and returns that error.
 func (n *Node) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -265,13 +267,12 @@
 		n.config.Logger.Info("node ends before it has started", "reason", context.Cause(ctx))
 		return nil
 	}
-	failures := make(chan error, 8)
-	go func() { failures <- errors.Wrap(n.servePeers(ctx, background), "serve peers") }()
+	go func() { n.failures <- errors.Wrap(n.servePeers(ctx, background), "serve peers") }()
 	servers := n.servers()
 	for _, s := range servers {
 		go func() {
 			if err := n.serve(ctx, s); !errors.Is(err, http.ErrServerClosed) {
-				failures <- errors.Wrapf(err, "serve %s", s.Addr)
+				n.failures <- errors.Wrapf(err, "serve %s", s.Addr)
 			}
 		}()
 	}
@@ -284,7 +285,7 @@
 	select {
 	case <-ctx.Done():
 		n.stop(background, servers, context.Cause(ctx).Error())
-	case err = <-failures:
+	case err = <-n.failures:
 		n.handleFailure(background, servers, err)
 	}
 	n.messenger.Close()
@@ -293,10 +294,9 @@
 
 func (n *Node) startLoops(ctx context.Context) {
 	for _, w := range n.watchers {
-		go w.Run(ctx)
+		n.startLoop(ctx, w.Run)
+	}
+	for _, run := range []func(context.Context){n.activator.Run, n.gossiper.Run, n.join, n.observeProcessorTime} {
+		n.startLoop(ctx, run)
 	}
-	go n.activator.Run(ctx)
-	go n.gossiper.Run(ctx)
-	go n.join(ctx)
-	go n.observeProcessorTime(ctx)
 }
--- a/internal/node/forwarder/listening.go
+++ b/internal/node/forwarder/listening.go
@@ -61,9 +61,10 @@
 	}
 }
 
-// handleFailure makes a planned stop after the failure of a server, unless this node has never served callers.
+// handleFailure makes a planned stop after the failure of a server or loop, unless this node has never served callers.
 func (n *Node) handleFailure(ctx context.Context, servers []*http.Server, failure error) {
-	n.config.Logger.Error("server failed; the node ends", "error", failure, "in_progress", n.server.InProgress())
+	n.config.Logger.Error("server or loop failed; the node ends", "error", failure.Error(),
+		"in_progress", n.server.InProgress())
 	if n.callerListener.Load() != nil {
 		n.stop(ctx, servers, failure.Error())
 	}
--- a/internal/node/forwarder/panics_test.go
+++ b/internal/node/forwarder/panics_test.go
@@ -79,3 +79,23 @@
 		t.Error("a frame made its handling panic")
 	}
 }
+
+// Guards against a background loop whose panic cuts all requests in progress.
+func TestPanicOfLoopCutsNoRequest(t *testing.T) {
+	is := is.New(t)
+	s := newServingNode(t, nil)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(t.Context()) }()
+	address := <-s.callers
+	statuses := make(chan int, 1)
+	go func() { statuses <- get(address, "r1") }()
+	<-s.arrived
+	s.startLoop(t.Context(), func(context.Context) { panic("fault") })
+	is.True(strings.Contains((<-ended).Error(), "loop panicked: fault"))
+	select {
+	case status := <-statuses:
+		is.Equal(status, 200)
+	default:
+		t.Error("the node ended with a request in progress")
+	}
+}
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -234,8 +234,8 @@
 
 // join waits for the initial documents from the store or from other nodes, then joins the view of the other nodes.
 func (n *Node) join(ctx context.Context) {
-	go n.discoverNodes(ctx)
-	go n.bootstrapper.Run(ctx)
+	n.startLoop(ctx, n.discoverNodes)
+	n.startLoop(ctx, n.bootstrapper.Run)
 	for ; !n.hasInitialDocuments(); sleeper.Sleep(ctx, n.config.Clock, joinPollPeriod) {
 		if ctx.Err() != nil {
 			return
@@ -243,7 +243,7 @@
 	}
 	n.ready.Store(true)
 	n.config.Logger.Info("node is ready", "after", n.config.Clock.Since(n.startedAt))
-	go n.register(ctx)
+	n.startLoop(ctx, n.register)
 	n.prober.Run(ctx)
 }
 
