Settings: a change during the start is found

Callers would see a node that uses the seeds, budgets or store address of before: a settings file that changes without a signal between its first read and the start of the watch was never read. Cause: the watch read the file once more as the content with which later reads are compared. Now it compares with what the process has started with.

TestReloadDuringStartIsCarriedOut shares its steps now; what it checks is the same.

--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -41,7 +41,11 @@
 
 // Run runs the node until SIGTERM or SIGINT.
 func (v *runCommand) Run(c *Config) error {
-	s, err := platform.ReadSettings(settingsPath(v.Settings, c))
+	data, err := os.ReadFile(settingsPath(v.Settings, c))
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	s, err := platform.DecodeSettings(data)
 	if err != nil {
 		return err
 	}
@@ -68,7 +72,7 @@
 	node := nodeConfig(s)
 	node.Store, node.Clock, node.Logger, node.Metrics = store, clock, logger, set
 	n := forwarder.New(node)
-	go v.watchSettings(ctx, c, logger, func(s platform.Settings) {
+	go v.watchSettings(ctx, c, logger, data, func(s platform.Settings) {
 		store.SetAddress(s.StoreAddress)
 		n.Reload(reloadableSettings(s))
 	})
@@ -88,17 +92,14 @@
 		"requests", n.RequestsInProgress(), "log_lines_dropped", droppedLines)
 }
 
-// watchSettings calls reload with the settings after SIGHUP and when it finds that the file has changed.
+// watchSettings calls reload with the settings after SIGHUP and when it finds that the file has changed since its last
+// content was read.
 func (v *runCommand) watchSettings(
-	ctx context.Context, c *Config, logger *slog.Logger, reload func(s platform.Settings),
+	ctx context.Context, c *Config, logger *slog.Logger, last []byte, reload func(s platform.Settings),
 ) {
 	ticker := time.NewTicker(settingsPollPeriod)
 	defer ticker.Stop()
 	path := settingsPath(v.Settings, c)
-	last, err := os.ReadFile(path)
-	if err != nil {
-		logger.Warn("settings file cannot be read to detect changes", "path", path, "error", err)
-	}
 	for {
 		forced := false
 		select {
