--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -6,10 +6,8 @@
 	"log/slog"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,7 +43,11 @@
 
 // Run runs the node until SIGTERM or SIGINT.
 func (v *runCommand) Run(c *Config) error {
-	s, err := platform.ReadSettings(settingsPath(v.Settings, c))
+	data, err := os.ReadFile(settingsPath(v.Settings, c))
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	s, err := platform.DecodeSettings(data)
 	if err != nil {
 		return err
 	}
@@ -60,8 +62,7 @@
 		return err
 	}
 	logger := slog.New(slog.NewTextHandler(logWriter, &slog.HandlerOptions{Level: level})).With("node", s.NodeName)
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
+	ctx := c.Signals.Context()
 	set := metrics.NewSet()
 	clock := timekeeper.New(timekeeper.Config{Clock: quartz.NewReal()})
 	store := platform.NewStore(platform.StoreConfig{
@@ -73,32 +74,40 @@
 	node := nodeConfig(s)
 	node.Store, node.Clock, node.Logger, node.Metrics = store, clock, logger, set
 	n := forwarder.New(node)
-	stopContext, beginStop := context.WithCancel(context.WithoutCancel(ctx))
-	defer beginStop()
+	stopContext, beginStop := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer beginStop(nil)
 	go func() {
-		defer beginStop()
-		v.watchSettings(ctx, c, logger, func(s platform.Settings) {
+		v.watchSettings(ctx, c, logger, data, func(s platform.Settings) {
 			store.SetAddress(s.StoreAddress)
 			n.Reload(reloadableSettings(s))
 		})
+		beginStop(context.Cause(ctx))
 	}()
-	return n.Run(stopContext)
+	err = n.Run(stopContext)
+	logWriter.Close()
+	logEnd(ctx, slog.New(slog.NewTextHandler(c.Output, nil)).With("node", s.NodeName), n, logWriter.DroppedLines(), err)
+	return err
 }
 
-// watchSettings calls reload with the settings after SIGHUP and when it finds that the file has changed. It returns
-// when the context ends, after a last look at the file: the time for a planned stop may change together with the stop.
+// logEnd writes the last line of the process. The logger must not drop it.
+func logEnd(ctx context.Context, logger *slog.Logger, n *forwarder.Node, droppedLines uint64, err error) {
+	reason := err
+	if reason == nil {
+		reason = context.Cause(ctx)
+	}
+	logger.Info("process ends", "reason", reason.Error(), "in_progress", n.InProgress(),
+		"requests", n.RequestsInProgress(), "log_lines_dropped", droppedLines)
+}
+
+// watchSettings calls reload with the settings after SIGHUP and when it finds that the file has changed since its last
+// content was read. It returns when the context ends, after a last look at the file: the time for a planned stop may
+// change together with the stop.
 func (v *runCommand) watchSettings(
-	ctx context.Context, c *Config, logger *slog.Logger, reload func(s platform.Settings),
+	ctx context.Context, c *Config, logger *slog.Logger, last []byte, reload func(s platform.Settings),
 ) {
-	sighup := make(chan os.Signal, 1)
-	signal.Notify(sighup, syscall.SIGHUP)
 	ticker := time.NewTicker(settingsPollPeriod)
 	defer ticker.Stop()
 	path := settingsPath(v.Settings, c)
-	last, err := os.ReadFile(path)
-	if err != nil {
-		logger.Warn("settings file cannot be read to detect changes", "path", path, "error", err)
-	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -112,7 +121,7 @@
 			case <-time.After(lastReloadTimeout):
 			}
 			return
-		case <-sighup:
+		case <-c.Signals.Reloads():
 			last = reloadSettings(path, last, true, logger, reload)
 		case <-ticker.C:
 			last = reloadSettings(path, last, false, logger, reload)
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -24,7 +24,9 @@
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
 	"github.com/magnoliastep/magnoliastep/internal/forward/server"
+	"github.com/magnoliastep/magnoliastep/internal/forward/tracer"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
+	"github.com/magnoliastep/magnoliastep/internal/invariant/isolator"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/records/bootstrapper"
 	"github.com/magnoliastep/magnoliastep/internal/records/elector"
@@ -112,9 +114,11 @@
 		// DirectoryHandler answers callers that ask where to connect, and ReadinessHandler answers the platform.
 		DirectoryHandler func(n *selector.Selector, ready func() bool) http.Handler
 		ReadinessHandler func(ready func() bool) http.Handler
-		Clock            quartz.Clock
-		Logger           *slog.Logger
-		Metrics          *metrics.Set
+		// Listen opens a listener for an address; nil means TCP.
+		Listen  func(ctx context.Context, address string) (net.Listener, error)
+		Clock   quartz.Clock
+		Logger  *slog.Logger
+		Metrics *metrics.Set
 	}
 
 	// Node forwards the requests of callers. All its parts run until the context of Run ends.
@@ -131,6 +135,8 @@
 		elector    *elector.Elector
 		activator  *activator.Activator
 		reaper     *reaper.Reaper
+		tracer     *tracer.Tracer
+		isolator   *isolator.Isolator
 		gossiper   *gossiper.Gossiper
 		// bootstrapper brings this node its first documents.
 		bootstrapper *bootstrapper.Bootstrapper
@@ -150,6 +156,8 @@
 		helpers atomic.Uint32
 		// joined is set for good once another node has been known.
 		joined atomic.Bool
+		// failures receives the errors of servers and loops without which this node can't go on.
+		failures chan error
 		// fleet is the cached result of currentFleet; nil before its first call.
 		fleet atomic.Pointer[fleetState]
 	}
@@ -157,25 +165,32 @@
 
 // New assembles a node. It does nothing until Run is called.
 func New(c Config) *Node {
-	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}}
+	if c.Listen == nil {
+		c.Listen = listenTCP
+	}
+	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}, failures: make(chan error, 8)}
 	n.setSettings(c.ReloadableSettings, defaultSettings())
 	n.elector = elector.New(elector.Config{
 		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
 		FallbackJitter: rand.N(maxFallbackReaderJitter), //nolint:gosec // spreads load only
 	})
 	n.reaper = reaper.New(reaper.Config{Timeout: n.idleTimeout, Clock: c.Clock})
+	n.isolator = isolator.New(isolator.Config{Logger: c.Logger, OnPanic: n.countPanic})
+	n.tracer = tracer.New(tracer.Config{OnUnanswered: n.observeUnanswered, Logger: c.Logger})
 	n.assembleFleet()
 	n.assembleLeaves()
 	n.assembleRecords()
 	n.server = server.New(server.Config{
 		Gatherer: n.gatherer, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load, ConfigCurrent: n.configurationCurrent,
-		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest, Logger: c.Logger,
-		Random: rand.Float64,
+		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest,
+		OnPanic: func() { n.countPanic(workRequest) }, Logger: c.Logger, Random: rand.Float64,
 	})
 	n.selector = selector.New(selector.Config{
 		View: n.prober, Leaves: n.leafSummary, KeepFor: directoryTTL(c.DirectoryTime),
 	})
 	n.registerGauges()
+	n.registerUnanswered()
+	n.registerPanics()
 	return n
 }
 
@@ -201,7 +216,7 @@
 		ProbePeriod: probePeriod, ProbeTimeout: probeTimeout, SuspicionPeriod: suspicionPeriod,
 		FilterTargets: func(names []string) []string { return linker.ChoosePeers(names, c.NodeName) },
 		SeedPeers:     n.otherSeeds(), Load: func() uint32 { return uint32(n.server.InProgress()) },
-		Helpers: n.helpers.Load, OnDeath: n.messenger.CloseLink,
+		Helpers: n.helpers.Load, OnDeath: n.messenger.CloseLink, Isolate: n.isolateFrame,
 	})
 }
 
@@ -223,6 +238,9 @@
 		Misdirected: func(l *balancer.Leaf) {
 			c.Logger.Info("leaf answered for another", "leaf", l.Entry().ID, "address", l.Entry().Address)
 		},
+		OnPanic: func(requestID string, l *balancer.Leaf, value any) {
+			n.isolator.Report(workCall, value, "request_id", requestID, "leaf", l.Entry().ID)
+		},
 	})
 }
 
@@ -241,32 +259,35 @@
 	return budgeter.Config{Share: s.RetryShare, Slack: s.RetrySlack}
 }
 
-// Run runs the node until the context ends, then makes a planned stop. If a server fails, it returns that server's
-// error at once, without the planned stop.
+// Run runs the node until the context ends, then makes a planned stop. If a server or loop fails without which the node
+// can't serve, it makes the planned stop, too, and returns that error.
 func (n *Node) Run(ctx context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	peers, err := (&net.ListenConfig{}).Listen(ctx, "tcp", n.config.PeerAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for peers")
+	if ctx.Err() != nil {
+		n.config.Logger.Info("node ends before it has started", "reason", context.Cause(ctx))
+		return nil
 	}
-	defer func() { _ = peers.Close() }()
-	failures := make(chan error, 8)
-	go func() { failures <- errors.Wrap(n.messenger.Serve(peers), "serve peers") }()
+	go func() { n.failures <- errors.Wrap(n.servePeers(ctx, background), "serve peers") }()
 	servers := n.servers()
 	for _, s := range servers {
 		go func() {
-			if err := n.serve(background, s); !errors.Is(err, http.ErrServerClosed) {
-				failures <- errors.Wrapf(err, "serve %s", s.Addr)
+			if err := n.serve(ctx, s); !errors.Is(err, http.ErrServerClosed) {
+				n.failures <- errors.Wrapf(err, "serve %s", s.Addr)
 			}
 		}()
 	}
+	if n.config.MetricsAddress != "" {
+		go n.runMetricsServer(background)
+	}
 	n.startLoops(background)
 	n.config.Logger.Info("node started", "caller_address", n.config.CallerAddress, "zone", n.config.AvailabilityZone)
+	var err error
 	select {
-	case err = <-failures:
 	case <-ctx.Done():
-		n.stop(background, servers)
+		n.stop(background, servers, context.Cause(ctx).Error())
+	case err = <-n.failures:
+		n.handleFailure(background, servers, err)
 	}
 	n.messenger.Close()
 	return err
@@ -274,10 +295,9 @@
 
 func (n *Node) startLoops(ctx context.Context) {
 	for _, w := range n.watchers {
-		go w.Run(ctx)
+		n.startLoop(ctx, w.Run)
+	}
+	for _, run := range []func(context.Context){n.activator.Run, n.gossiper.Run, n.join, n.observeProcessorTime} {
+		n.startLoop(ctx, run)
 	}
-	go n.activator.Run(ctx)
-	go n.gossiper.Run(ctx)
-	go n.join(ctx)
-	go n.observeProcessorTime(ctx)
 }
--- a/internal/node/forwarder/servers.go
+++ b/internal/node/forwarder/servers.go
@@ -8,6 +8,7 @@
 
 	"github.com/magnoliastep/magnoliastep/internal/clock/sleeper"
 	"github.com/magnoliastep/magnoliastep/internal/forward/server"
+	"github.com/magnoliastep/magnoliastep/internal/forward/tracer"
 )
 
 const (
@@ -31,32 +32,30 @@
 	stopPollPeriod = 5 * time.Millisecond
 )
 
-// servers returns the servers of the node; the first one serves callers.
+// servers returns the servers without which the node can't serve; the first one serves callers.
 func (n *Node) servers() []*http.Server {
 	callers := newServer(n.config.CallerAddress, n.server)
 	callers.IdleTimeout = 0
 	callers.ConnState = n.reaper.Observe
-	callers.ConnContext = func(ctx context.Context, _ net.Conn) context.Context { return server.ConnContext(ctx) }
-	servers := []*http.Server{
+	callers.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return tracer.NewContext(server.ConnContext(ctx), c)
+	}
+	return []*http.Server{
 		callers,
 		newServer(n.config.ReadinessAddress, n.config.ReadinessHandler(n.Ready)),
 		newServer(n.config.DirectoryAddress, n.config.DirectoryHandler(n.selector, n.Ready)),
 	}
-	if n.config.MetricsAddress != "" {
-		servers = append(servers, newServer(n.config.MetricsAddress, http.HandlerFunc(n.serveMetrics)))
-	}
-	return servers
 }
 
-// serve runs a server until it is shut down or fails.
+// serve runs a server until it is shut down or fails. When the context ends, it does not begin to listen any more.
 func (n *Node) serve(ctx context.Context, s *http.Server) error {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Addr)
+	l, err := n.listen(ctx, s.Addr)
 	if err != nil {
 		return err
 	}
 	if s.Addr == n.config.CallerAddress {
 		n.callerListener.Store(&l)
-		l = n.reaper.Listener(l)
+		l = n.reaper.Listener(n.tracer.Listener(l))
 	}
 	return s.Serve(l)
 }
@@ -99,17 +98,21 @@
 
 // stop keeps serving until callers have learned that this node is leaving, then takes no further connections and lets
 // requests in progress end.
-func (n *Node) stop(ctx context.Context, servers []*http.Server) {
+func (n *Node) stop(ctx context.Context, servers []*http.Server, reason string) {
 	startedAt, schedule := n.config.Clock.Now(), scheduleStop(n.settings.Load().StopTime)
 	n.stopping.Store(true)
 	n.gatherer.Stop(schedule.answerBy)
 	n.server.Stop(schedule.answerBy)
-	n.config.Logger.Info("stop began", "in_progress", n.server.InProgress())
+	n.config.Logger.Info("stop began", "reason", reason, "in_progress", n.server.InProgress(),
+		"open_connections", n.reaper.Busy())
 	n.prober.Leave()
 	go n.prober.Announce(ctx)
+	go n.logRequestsEnding(ctx, schedule.answerBy)
 	sleeper.Sleep(ctx, n.config.Clock, schedule.serveFor)
 	finish, cancel := context.WithTimeout(ctx, schedule.finishBy-schedule.serveFor)
 	defer cancel()
+	n.config.Logger.Info("stop takes no further connections", "in_progress", n.server.InProgress(),
+		"open_connections", n.reaper.Busy())
 	n.drainCallers(finish)
 	for _, s := range servers[1:] {
 		if err := s.Shutdown(finish); err != nil {
@@ -117,7 +120,7 @@
 		}
 	}
 	n.config.Logger.Info("stop complete", "in_progress", n.server.InProgress(), "open_connections", n.reaper.Busy(),
-		"took", n.config.Clock.Since(startedAt))
+		"requests", n.RequestsInProgress(), "took", n.config.Clock.Since(startedAt))
 }
 
 // drainCallers takes no further connections of callers and waits until all requests in progress have been answered, at
