Documents of other nodes: bound what a few compressed bytes can become

A node that pulls documents decompressed up to 64 MB from as little as 64 kB and held the doubling of the buffer on top: more than a third of the memory of a small VM, for each pull. Nobody has seen it; found while looking for other places with the cause of "bytes without end". Answers have at most 16 MB now, and are read into buffers that grow in few, bounded steps (package memory/collector).

TestAnswerThatDecompressesWithoutEndIsRefused was seen to fail with the old bound.

--- a/internal/records/joiner/joiner.go
+++ b/internal/records/joiner/joiner.go
@@ -4,19 +4,19 @@
 import (
 	"bytes"
 	"compress/flate"
-	"io"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
+	"github.com/magnoliastep/magnoliastep/internal/memory/collector"
 )
 
 const (
 	// maxCompressedBytes and maxPlainBytes bound an answer before and after decompression.
-	maxCompressedBytes = 16 << 20
-	maxPlainBytes      = 64 << 20
+	maxCompressedBytes = 4 << 20
+	maxPlainBytes      = 16 << 20
 )
 
 // Joiner holds the chunks of one answer. The zero value has none. It is not safe for concurrent use.
@@ -56,9 +56,9 @@
 	if xxhash.Sum64(received) != transfer {
 		return nil, false, errors.New("joiner: answer has another digest")
 	}
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(received)), maxPlainBytes))
+	plain, err := decompress(received)
 	if err != nil {
-		return nil, false, errors.Wrap(err, "decompress documents")
+		return nil, false, err
 	}
 	answer = &pb.Documents{}
 	if err := proto.Unmarshal(plain, answer); err != nil {
@@ -66,3 +66,12 @@
 	}
 	return answer, true, nil
 }
+
+func decompress(received []byte) ([]byte, error) {
+	plain := collector.New(collector.Config{Source: flate.NewReader(bytes.NewReader(received))})
+	complete, err := plain.Collect(maxPlainBytes)
+	if err == nil && !complete {
+		err = errors.Newf("more than %d bytes", maxPlainBytes)
+	}
+	return plain.Bytes(), errors.Wrap(err, "decompress documents")
+}
--- a/internal/records/joiner/joiner_test.go
+++ b/internal/records/joiner/joiner_test.go
@@ -87,3 +87,18 @@
 		})
 	}
 }
+
+// Guards against a small answer that becomes larger than the memory of the node when it is decompressed.
+func TestAnswerThatDecompressesWithoutEndIsRefused(t *testing.T) {
+	is := is.New(t)
+	zeros := &pb.Documents{Documents: []*pb.Document{{Kind: "config", Name: "main", Data: make([]byte, 17<<20)}}}
+	c := chunker.New()
+	var j joiner.Joiner
+	for {
+		_, complete, err := j.Add(cut(is, c, zeros, &j))
+		is.True(!complete)
+		if err != nil {
+			return
+		}
+	}
+}
