Messenger: the largest frame is configurable

A frame of another node may state up to 16 MB, which are allocated before they arrive, for each stream. A node on a small VM can ask for less; a larger frame ends the link. TestFrameAboveLimitEndsLink was seen to fail with the limit ignored.

--- a/internal/peer/messenger/link.go
+++ b/internal/peer/messenger/link.go
@@ -112,7 +112,7 @@
 }
 
 func (l *link) readStream(stream net.Conn) {
-	readFrames(stream, l.handleReply)
+	readFrames(stream, l.messenger.config.MaxFrameBytes, l.handleReply)
 	l.close()
 }
 
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -25,7 +25,7 @@
 	dialTimeout          = time.Second
 	redialPause          = 100 * time.Millisecond
 	streamWindowBytes    = 1 << 20  // 1 MiB
-	maxFrameBytes        = 16 << 20 // 16 MiB
+	defaultMaxFrameBytes = 16 << 20 // 16 MiB
 	writeQueueFrames     = 512
 	maxHandlersPerStream = 4096
 
@@ -73,6 +73,8 @@
 		Dial func(ctx context.Context, address string) (net.Conn, error)
 		// IdleLinkThreshold is the number of links up to which idle links are not closed; zero means 64.
 		IdleLinkThreshold int
+		// MaxFrameBytes is the largest frame that is read; zero means 16 MiB. A larger one ends its link.
+		MaxFrameBytes int64
 		// OnFrameSent is called for each frame that was written, with the schema's name of its body; it may be nil.
 		OnFrameSent func(kind string, bytes int)
 		Logger      *slog.Logger
@@ -107,6 +109,9 @@
 	if c.IdleLinkThreshold == 0 {
 		c.IdleLinkThreshold = defaultIdleLinkThreshold
 	}
+	if c.MaxFrameBytes == 0 {
+		c.MaxFrameBytes = defaultMaxFrameBytes
+	}
 	return &Messenger{
 		config:   c,
 		links:    map[string]*link{},
@@ -332,7 +337,7 @@
 	defer w.close()
 	reply := func(f *pb.Frame) { _ = w.enqueueBlocking(m.setHeader(f)) }
 	handlers := make(chan struct{}, maxHandlersPerStream)
-	readFrames(stream, func(f *pb.Frame) {
+	readFrames(stream, m.config.MaxFrameBytes, func(f *pb.Frame) {
 		m.config.OnConfigDigest(f.GetFrom(), f.GetConfigDigest())
 		handlers <- struct{}{}
 		go func() {
--- a/internal/peer/messenger/messenger_test.go
+++ b/internal/peer/messenger/messenger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -133,3 +134,33 @@
 		}
 	})
 }
+
+// Guards against a peer whose frame takes more memory than the node has.
+func TestFrameAboveLimitEndsLink(t *testing.T) {
+	const maxFrameBytes = 64 << 10
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.43.8.1:0")
+	is.NoErr(err)
+	peer := messenger.New(messenger.Config{
+		NodeName: "peer", Handler: &probeHandler{}, ConfigDigest: func() uint64 { return 1 },
+		OnConfigDigest: func(string, uint64) {}, MaxFrameBytes: maxFrameBytes,
+	})
+	defer peer.Close()
+	go func() { _ = peer.Serve(listener) }()
+	m := newMessenger(&probeHandler{}, &atomic.Bool{})
+	defer m.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for _, c := range []struct {
+		bytes int
+		lost  bool
+	}{{maxFrameBytes / 2, false}, {maxFrameBytes, true}, {maxFrameBytes / 2, false}} {
+		f := &pb.Frame{Body: &pb.Frame_IndirectProbe{
+			IndirectProbe: &pb.IndirectProbe{Target: strings.Repeat("x", c.bytes)},
+		}}
+		_, err := m.Call(ctx, listener.Addr().String(), messenger.PlaneData, f)
+		is.Equal(err != nil, c.lost)
+		is.Equal(errors.Is(err, messenger.ErrPeerLost), c.lost)
+	}
+	is.NoErr(ctx.Err())
+}
--- a/internal/peer/messenger/writer.go
+++ b/internal/peer/messenger/writer.go
@@ -105,9 +105,9 @@
 }
 
 // readFrames passes each frame of the stream to receive until the stream ends or is malformed.
-func readFrames(stream io.Reader, receive func(*pb.Frame)) {
+func readFrames(stream io.Reader, maxBytes int64, receive func(*pb.Frame)) {
 	reader := bufio.NewReaderSize(stream, readBufferBytes)
-	options := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
+	options := protodelim.UnmarshalOptions{MaxSize: maxBytes}
 	for {
 		f := &pb.Frame{}
 		if options.UnmarshalFrom(reader, f) != nil {
