Callers: account for large bodies, and take large answers from callers that don't read them

What callers would see: the end of all requests of a machine that runs out of memory, because many callers send large bodies at once, or do not read their answers. A body was read into a growing buffer and held without account, and an answer was held as long as its caller kept the connection.

A body above 16 KB reserves its room before it is read and is refused at once, without having run, if there is none (package memory/reserver). One that states more than the limit is not read. A large answer is written within the caller's time and 2 s.

The fixture's configuration of the server tests moved to a function; nothing else of it changed.

--- a/internal/forward/server/answer.go
+++ b/internal/forward/server/answer.go
@@ -132,8 +132,7 @@
 		x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.writer.WriteHeader(status)
-	// A write fails only if the caller has disconnected.
-	_, _ = x.writer.Write(body)
+	x.writeBytes(body)
 }
 
 // noRoute answers a request for which there is no route. It answers 404 only if the configuration is known to
--- /dev/null
+++ b/internal/forward/server/body.go
@@ -0,0 +1,115 @@
+package server
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/magnoliastep/magnoliastep/internal/forward/deferrer"
+	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
+	"github.com/magnoliastep/magnoliastep/internal/memory/collector"
+)
+
+const (
+	// smallBodyBytes is the largest body of a request for which no memory is reserved, and the largest body of an answer
+	// that is written without a deadline, because it has room in the buffers of the connection.
+	smallBodyBytes = 16 << 10
+	// writeMargin is how long after the caller's time is over a large answer may still be written.
+	writeMargin = 2 * time.Second
+)
+
+// readBody reads the request's body. If that fails, it answers the caller and returns false.
+func (x *exchange) readBody(limit int64) ([]byte, bool) {
+	if x.request.Body == nil || x.request.ContentLength == 0 {
+		return nil, true
+	}
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
+	}
+	// Limits the wait for a caller that stops in the middle of its body to the timeout of the route.
+	control := http.NewResponseController(x.writer)
+	if err := control.SetReadDeadline(x.arrivedAt.Add(x.route.Timeout)); err != nil {
+		x.server.config.Logger.Debug("failed to set the read deadline of a request body", "request_id", x.id, "error", err)
+	}
+	if !x.reserveBody(limit) {
+		x.writer.Header().Set("Connection", "close")
+		x.refuse("no_memory", deferrer.NoCapacity, gatherer.Result{})
+		return nil, false
+	}
+	body, err := x.collectBody(limit)
+	if err == nil {
+		if err := control.SetReadDeadline(time.Time{}); err != nil {
+			x.server.config.Logger.Debug("failed to clear the read deadline of a request body", "request_id", x.id, "error", err)
+		}
+		return body, true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		x.fail(http.StatusRequestEntityTooLarge, "body_too_large", gatherer.Result{})
+	} else {
+		x.writer.Header().Set("Connection", "close")
+		x.fail(http.StatusBadRequest, "body_not_read", gatherer.Result{})
+	}
+	return nil, false
+}
+
+// reserveBody reserves memory for a large body, and reports whether there is enough. A body that states more than the
+// limit needs none, because it is not read.
+func (x *exchange) reserveBody(limit int64) bool {
+	room := x.request.ContentLength
+	if room < 0 {
+		room = collector.Room(limit)
+	}
+	if x.server.config.Memory == nil || room <= smallBodyBytes || x.request.ContentLength > limit {
+		return true
+	}
+	x.memory = x.server.config.Memory.TryReserve(room)
+	return x.memory != nil
+}
+
+// collectBody reads the whole body. A body of more than limit bytes is an http.MaxBytesError.
+func (x *exchange) collectBody(limit int64) ([]byte, error) {
+	stated := x.request.ContentLength
+	if stated > limit {
+		x.writer.Header().Set("Connection", "close")
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	if stated >= 0 {
+		body := make([]byte, stated)
+		_, err := io.ReadFull(x.request.Body, body)
+		return body, err
+	}
+	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
+	body := collector.New(collector.Config{Source: reader})
+	// The limit is a byte higher, so that the reader's own is the one that ends a body.
+	complete, err := body.Collect(limit + 1)
+	if err == nil && !complete {
+		err = &http.MaxBytesError{Limit: limit}
+	}
+	return body.Bytes(), err
+}
+
+// writeBytes writes the body of an answer. A caller that does not read a large one loses it some time after it has
+// stopped waiting, so that the answer does not take memory for good.
+func (x *exchange) writeBytes(body []byte) {
+	if len(body) <= smallBodyBytes {
+		_, _ = x.writer.Write(body) // fails only if the caller has disconnected
+		return
+	}
+	wait := x.remaining
+	if x.route != nil {
+		wait = min(wait, x.route.Timeout)
+	}
+	deadline := x.arrivedAt.Add(wait)
+	if now := time.Now(); deadline.Before(now) {
+		deadline = now
+	}
+	control := http.NewResponseController(x.writer)
+	if err := control.SetWriteDeadline(deadline.Add(writeMargin)); err != nil {
+		x.server.config.Logger.Debug("failed to set the write deadline of an answer", "request_id", x.id, "error", err)
+	}
+	// Fails if the caller has disconnected or its time is over. net/http clears the deadline after each request.
+	_, _ = x.writer.Write(body)
+}
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -13,11 +12,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/magnoliastep/magnoliastep/internal/forward/deferrer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
+	"github.com/magnoliastep/magnoliastep/internal/memory/reserver"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
 )
 
@@ -68,6 +66,8 @@
 		Logger  *slog.Logger
 		// Random returns random numbers from 0 to 1. It is safe for concurrent use.
 		Random func() float64
+		// Memory bounds the bytes of large bodies of requests that are held at once; nil sets no bound.
+		Memory *reserver.Reserver
 	}
 
 	// Server handles callers' requests. It is safe for concurrent use.
@@ -135,10 +135,10 @@
 	}
 	x.route, x.version = route, m.Version()
 	body, ok := x.readBody(m.Limits().MaxBodyBytes)
-	if !ok {
-		return
+	defer x.memory.Release()
+	if ok {
+		x.run(body)
 	}
-	x.run(body)
 }
 
 // exchange is the state of one request and its answer.
@@ -155,37 +155,8 @@
 	// retryAfter is the delay that a refused caller is told; 0 for a request that is not refused.
 	retryAfter time.Duration
 	services   []string
-}
-
-// readBody reads the request's body. If that fails, it answers the caller and returns false.
-func (x *exchange) readBody(limit int64) ([]byte, bool) {
-	if x.request.Body == nil || x.request.ContentLength == 0 {
-		return nil, true
-	}
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
-	// Limits the wait for a caller that stops in the middle of its body to the timeout of the route.
-	control := http.NewResponseController(x.writer)
-	if err := control.SetReadDeadline(x.arrivedAt.Add(x.route.Timeout)); err != nil {
-		x.server.config.Logger.Debug("failed to set the read deadline of a request body", "request_id", x.id, "error", err)
-	}
-	body, err := io.ReadAll(reader)
-	if err == nil {
-		if err := control.SetReadDeadline(time.Time{}); err != nil {
-			x.server.config.Logger.Debug("failed to clear the read deadline of a request body", "request_id", x.id, "error", err)
-		}
-		return body, true
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		x.fail(http.StatusRequestEntityTooLarge, "body_too_large", gatherer.Result{})
-	} else {
-		x.writer.Header().Set("Connection", "close")
-		x.fail(http.StatusBadRequest, "body_not_read", gatherer.Result{})
-	}
-	return nil, false
+	// memory is reserved for the body of the request; nil for a small one.
+	memory *reserver.Reservation
 }
 
 // run has leaves run the request and writes the answer.
--- a/internal/forward/server/server_test.go
+++ b/internal/forward/server/server_test.go
@@ -54,7 +54,12 @@
 			},
 		},
 	})}
-	f.server = server.New(server.Config{
+	f.server = server.New(f.config())
+	return f
+}
+
+func (f *fixture) config() server.Config {
+	return server.Config{
 		Gatherer: f, Matcher: func() *matcher.Matcher { return f.matcher },
 		ConfigCurrent: func() bool { return f.configCurrent }, ConfigOutdated: func() bool { return f.configOutdated },
 		HeaderNames: server.HeaderNames{
@@ -63,8 +68,7 @@
 		},
 		Draining: func() bool { return f.draining }, Observe: func(string, string, time.Duration, gatherer.Result) {},
 		Logger: slog.New(slog.NewTextHandler(&f.log, nil)), Random: func() float64 { return 0 },
-	})
-	return f
+	}
 }
 
 func (f *fixture) do(method, path, body string, fields ...string) *http.Response {
