Leaves that send without end take neither memory nor service

Cause: memory was accounted for only while a large body was read, not for the doubling of its buffer nor for bodies that had been read and waited; and each call to a leaf that had sent too much read up to 8 MB from it again.

- A body above 16 KB reserves its room before it is read and gives it back when it has been written or dropped; late answers are dropped with their run.
- Parts of gathered answers are reduced to the greatest records as they arrive; merging large parts takes no multiple of them.
The receive buffer of a connection is bounded.
- A large body of a request is not copied for each call.

Tests changed: the exchanger's Config.LargeAnswers is Memory now, so TestLargeAnswersShareBoundedMemory takes a Reserver and releases its answers; TestAnswerWithoutEndFailsAtOnce compared with an error that Do never returned, so its check of OnExcessBytes was dead: it compares with ErrTooLong.

--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliastep/magnoliastep/internal/forward/merger"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/scorer"
@@ -16,16 +17,18 @@
 	// lateShare is the share of the target latency after which the answer of one leaf is late. The rest is needed
 	// for transit, a second send and the slowest of many shards.
 	lateShare = 0.6
+	// maxPartBytes is the size up to which a part is kept as it is until the answer is put together.
+	maxPartBytes = 4 << 10
 )
 
 // call makes one call and reports its end as an event. It runs on its own goroutine. A droppable call is not sent
 // if its answer can't be in time.
-func (n *run) call(shardIndex, attemptIndex int, leaf *balancer.Leaf, state *sendState, droppable bool) {
+func (n *run) call(shardIndex, attemptIndex int, leaf *balancer.Leaf, state *sendState, droppable, afterExcess bool) {
 	startedAt := time.Now()
 	leaf.Scorer().Begin(startedAt)
 	sentAt := time.Time{}
 	message := n.request.Message
-	message.Priority = n.request.Route.Priority
+	message.Priority, message.AfterExcess = n.request.Route.Priority, afterExcess
 	message.InTimeUntil = n.sendDeadline(leaf, startedAt)
 	if droppable {
 		message.SendBy = message.InTimeUntil
@@ -45,9 +48,9 @@
 		leaf.Exchanger().AdjustConcurrency(sentAt, now, late)
 	}
 	queued := now.Sub(startedAt) - took
-	n.events <- event{
+	n.report(event{
 		shard: shardIndex, attempt: attemptIndex, reply: reply, err: err, took: now.Sub(startedAt), queued: queued,
-	}
+	})
 }
 
 // outcome classifies the end of a call for the leaf's scorer.
@@ -77,8 +80,10 @@
 	n.result.ConnectionWait = max(n.result.ConnectionWait, e.queued)
 	s.attempts[e.attempt].open = false
 	if s.done || s.attempts[e.attempt].withdrawn {
+		e.reply.Release()
 		return
 	}
+	s.excess = s.excess || errors.Is(e.err, exchanger.ErrTooLong) || errors.Is(e.err, exchanger.ErrMalformed)
 	if e.err != nil || e.reply.NotRun || !n.acceptable(e.reply) {
 		n.result.FailedLeaves = append(n.result.FailedLeaves, s.attempts[e.attempt].leaf.Entry().ID+":"+failureReason(e))
 	}
@@ -95,19 +100,45 @@
 	case e.err != nil:
 		n.handleFailure(s, n.request.Route.Idempotent)
 	case e.reply.NotRun && !e.reply.Unidentified:
+		e.reply.Release()
 		n.handleRejection(s, e)
 	case n.acceptable(e.reply):
 		s.done, s.answered = true, true
-		n.result.Parts = append(n.result.Parts, e.reply)
+		n.result.Parts = append(n.result.Parts, n.reduce(e.reply))
 		n.gatherer.addLatencySample(n.request.Route, e.took)
 	default:
-		if isFailure(e.reply) {
-			n.result.LeafFailure = e.reply
-		}
+		n.keepFailure(e.reply)
 		n.handleFailure(s, n.request.Route.Idempotent)
 	}
 }
 
+// reduce reduces a part to what the answer needs of it, because it may wait long for the other parts: the signature
+// and, of a body that is larger than usual, the records that can be in the answer.
+func (n *run) reduce(r *exchanger.Reply) *exchanger.Reply {
+	if len(n.request.Route.Shards) == 0 {
+		return r
+	}
+	r.Header = nil
+	if len(r.Body) <= maxPartBytes {
+		return r
+	}
+	records := merger.New(n.request.Route.TopRecords)
+	records.Add(r.Body)
+	r.Replace(records.Body())
+	return r
+}
+
+// keepFailure keeps a failure that the caller may be given, in place of the one before. Failures of single shards are
+// not given to callers.
+func (n *run) keepFailure(r *exchanger.Reply) {
+	if len(n.request.Route.Shards) > 0 || !isFailure(r) {
+		r.Release()
+		return
+	}
+	n.result.LeafFailure.Release()
+	n.result.LeafFailure = r
+}
+
 // failureReason names for the log why a call failed.
 func failureReason(e event) string {
 	switch {
@@ -119,6 +150,10 @@
 		return "left"
 	case errors.Is(e.err, exchanger.ErrNotSent):
 		return "not_connected"
+	case errors.Is(e.err, exchanger.ErrTooLong):
+		return "too_long"
+	case errors.Is(e.err, exchanger.ErrMalformed):
+		return "malformed"
 	case e.err != nil:
 		return "no_answer"
 	case e.reply.Unidentified:
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -140,7 +140,15 @@
 	close(g.stopping)
 }
 
-// Run runs one request until it is answered, has failed or its caller has disconnected.
+// Release releases the memory of the answers, whose bodies must not be used afterwards.
+func (r Result) Release() {
+	for _, p := range r.Parts {
+		p.Release()
+	}
+	r.LeafFailure.Release()
+}
+
+// Run runs one request until it is answered, has failed or its caller has disconnected. The result must be released.
 func (g *Gatherer) Run(ctx context.Context, r Request) Result {
 	if r.TimeSpent+time.Since(r.ArrivedAt) >= r.Timeout {
 		return Result{Outcome: OutcomeNotRun, OutOfTime: true}
--- a/internal/forward/gatherer/gatherer_test.go
+++ b/internal/forward/gatherer/gatherer_test.go
@@ -17,6 +17,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/forward/budgeter"
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
+	"github.com/magnoliastep/magnoliastep/internal/memory/reserver"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
 )
@@ -32,6 +33,7 @@
 	pool     *balancer.Balancer
 	gatherer *gatherer.Gatherer
 	calls    map[string]*atomic.Int64
+	memory   *reserver.Reserver
 }
 
 // answerAfter returns a handler that answers successfully after a delay.
@@ -61,10 +63,10 @@
 }
 
 // newFixture starts a leaf for each handler. The key is service/zone; leaves of zone "near" are picked first.
-func newFixture(t *testing.T, leaves map[string]http.HandlerFunc) *fixture {
-	f := &fixture{calls: map[string]*atomic.Int64{}}
+func newFixture(t testing.TB, leaves map[string]http.HandlerFunc) *fixture {
+	f := &fixture{calls: map[string]*atomic.Int64{}, memory: reserver.New(reserver.Config{Bytes: 1 << 20})}
 	f.pool = balancer.New(balancer.Config{
-		Zone: "near", MaxAnswerBytes: 1 << 16, ColdShare: func(string) float64 { return 1 },
+		Zone: "near", MaxAnswerBytes: 1 << 16, Memory: f.memory, ColdShare: func(string) float64 { return 1 },
 		HeaderNames: exchanger.HeaderNames{
 			RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign", NotRun: "Not-Run",
 			Leaving: "Leaving",
@@ -86,7 +88,7 @@
 }
 
 // addLeaf starts a leaf. The key is service/zone.
-func (f *fixture) addLeaf(t *testing.T, key string, h http.HandlerFunc) {
+func (f *fixture) addLeaf(t testing.TB, key string, h http.HandlerFunc) {
 	service, zone, _ := strings.Cut(key, "/")
 	count := &atomic.Int64{}
 	f.calls[key] = count
--- a/internal/forward/gatherer/run.go
+++ b/internal/forward/gatherer/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/magnoliastep/magnoliastep/internal/forward/budgeter"
@@ -42,6 +43,9 @@
 		stopping <-chan struct{}
 		// sendUntil is until when the request may be sent for the first time if this node stops.
 		sendUntil time.Time
+		mutex     sync.Mutex
+		// ended is set when no event is handled any more; answers are released then.
+		ended bool
 	}
 
 	// shard is the state of one shard of the request.
@@ -61,6 +65,8 @@
 		openCalls int
 		// retryDue is set when a call has failed and is to be retried.
 		retryDue bool
+		// excess is set when an answer was too long or malformed.
+		excess bool
 		// nextSendAt is when the next second send of the shard is due; zero for never.
 		nextSendAt time.Time
 	}
@@ -223,12 +229,31 @@
 	return false
 }
 
-// finish stops further sends, and cancels the calls that are still open after abandonedCallTimeout.
+// finish stops further sends, releases the answers that come too late, and cancels the calls that are still open after
+// abandonedCallTimeout.
 func (n *run) finish() {
 	n.stopSending()
+	n.mutex.Lock()
+	n.ended = true
+	n.mutex.Unlock()
+	for range len(n.events) {
+		(<-n.events).reply.Release()
+		n.openCalls--
+	}
 	if n.openCalls == 0 {
 		n.cancelCalls()
 		return
 	}
 	time.AfterFunc(abandonedCallTimeout, n.cancelCalls)
 }
+
+// report reports the end of a call to the run, or drops its answer if the run has ended.
+func (n *run) report(e event) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.ended {
+		e.reply.Release()
+		return
+	}
+	n.events <- e
+}
--- a/internal/forward/gatherer/sending.go
+++ b/internal/forward/gatherer/sending.go
@@ -93,7 +93,7 @@
 	n.openCalls++
 	s.retryDue = false
 	s.nextSendAt = now.Add(n.hedgeDelay(expected))
-	go n.call(shardIndex, len(s.attempts)-1, leaf, state, n.canDropShard())
+	go n.call(shardIndex, len(s.attempts)-1, leaf, state, n.canDropShard(), s.excess)
 	return true
 }
 
--- a/internal/forward/merger/merger.go
+++ b/internal/forward/merger/merger.go
@@ -11,6 +11,8 @@
 const (
 	// RecordBytes is the size of a record. An incomplete record at the end of a part is ignored.
 	RecordBytes = 16
+	// batchRecords is how many records are added at once before the least of them are dropped.
+	batchRecords = 1024
 )
 
 type (
@@ -29,8 +31,30 @@
 
 // Add adds the records of one part. The body must not be changed afterwards.
 func (m *Merger) Add(body []byte) {
-	for ; len(body) >= RecordBytes; body = body[RecordBytes:] {
-		m.records = append(m.records, body[:RecordBytes:RecordBytes])
+	for len(body) >= RecordBytes {
+		n := min(len(body)/RecordBytes, batchRecords) * RecordBytes
+		m.addBatch(body[:n])
+		body = body[n:]
+	}
+}
+
+// addBatch adds whole records. Those that are not greater than limit others are skipped.
+func (m *Merger) addBatch(body []byte) {
+	if m.limit <= 0 {
+		return
+	}
+	var least []byte
+	if len(m.records) == m.limit {
+		least = m.records[m.limit-1]
+	}
+	before := len(m.records)
+	for ; len(body) > 0; body = body[RecordBytes:] {
+		if r := body[:RecordBytes:RecordBytes]; least == nil || bytes.Compare(r, least) > 0 {
+			m.records = append(m.records, r)
+		}
+	}
+	if len(m.records) == before {
+		return
 	}
 	sort.Slice(m.records, func(i, j int) bool { return bytes.Compare(m.records[i], m.records[j]) > 0 })
 	if len(m.records) > m.limit {
--- a/internal/forward/merger/merger_test.go
+++ b/internal/forward/merger/merger_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math/rand/v2"
+	"runtime"
 	"sort"
 	"testing"
 
@@ -32,6 +33,33 @@
 	is.Equal(m.Body(), bytes.Join(all[:7], nil))
 }
 
+// Guards against a large part that takes a multiple of its size while it is merged.
+func TestLargePartIsMergedInLittleMemory(t *testing.T) {
+	const (
+		records         = 256 << 10
+		limit           = 100
+		allocationLimit = 1 << 20
+	)
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(3, 4))
+	body, all := make([]byte, records*merger.RecordBytes), make([][]byte, records)
+	for i := range body {
+		body[i] = byte(random.Uint32())
+	}
+	for i := range all {
+		all[i] = body[i*merger.RecordBytes : (i+1)*merger.RecordBytes]
+	}
+	m := merger.New(limit)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	m.Add(body)
+	merged := m.Body()
+	runtime.ReadMemStats(&after)
+	is.True(after.TotalAlloc-before.TotalAlloc < allocationLimit)
+	sort.Slice(all, func(i, j int) bool { return bytes.Compare(all[i], all[j]) > 0 })
+	is.Equal(merged, bytes.Join(all[:limit], nil))
+}
+
 func TestFewerRecordsThanLimit(t *testing.T) {
 	is := is.New(t)
 	m := merger.New(3)
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -177,6 +177,7 @@
 		Target:  x.route.TargetLatency - outboundDelay,
 		Timeout: timeSpent + timeout - outboundDelay,
 	})
+	defer result.Release()
 	x.write(result)
 }
 
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -15,7 +15,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/coder/quartz"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/magnoliastep/magnoliastep/internal/discovery/reaper"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/selector"
@@ -25,6 +24,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
 	"github.com/magnoliastep/magnoliastep/internal/forward/server"
 	"github.com/magnoliastep/magnoliastep/internal/invariant/asserter"
+	"github.com/magnoliastep/magnoliastep/internal/memory/reserver"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
 	"github.com/magnoliastep/magnoliastep/internal/records/bootstrapper"
 	"github.com/magnoliastep/magnoliastep/internal/records/elector"
@@ -39,16 +39,12 @@
 )
 
 const (
-	// maxAnswerBytes bounds the body of one leaf's answer.
-	maxAnswerBytes = 8 << 20
 	// With probePeriod, probeTimeout and suspicionPeriod all nodes learn of a killed node within about 3 seconds.
 	probePeriod     = 200 * time.Millisecond
 	probeTimeout    = 400 * time.Millisecond
 	suspicionPeriod = time.Second
 	// defaultDirectoryTTL is how long callers keep an answer of the directory, unless the settings ask for less.
 	defaultDirectoryTTL = 2 * time.Second
-	// largeAnswersShare is the share of the VM's memory for large answers that are being received.
-	largeAnswersShare = 0.25
 )
 
 type (
@@ -140,7 +136,9 @@
 		enroller     *enroller.Enroller
 		gatherer     *gatherer.Gatherer
 		server       *server.Server
-		selector     *selector.Selector
+		// answerMemory and bodyMemory bound the large answers of leaves and the large bodies of requests that are held.
+		answerMemory, bodyMemory *reserver.Reserver
+		selector                 *selector.Selector
 		// callerListener accepts the connections of callers; nil until it has been opened.
 		callerListener atomic.Pointer[net.Listener]
 		mutex          sync.Mutex
@@ -164,13 +162,14 @@
 		FallbackJitter: rand.N(maxFallbackReaderJitter), //nolint:gosec // spreads load only
 	})
 	n.reaper = reaper.New(reaper.Config{Timeout: n.idleTimeout, Clock: c.Clock})
+	n.assembleMemory()
 	n.assembleFleet()
 	n.assembleLeaves()
 	n.assembleRecords()
 	n.server = server.New(server.Config{
 		Gatherer: n.gatherer, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load, ConfigCurrent: n.configurationCurrent,
 		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest, Logger: c.Logger,
-		Random: rand.Float64,
+		Random: rand.Float64, Memory: n.bodyMemory,
 	})
 	n.selector = selector.New(selector.Config{
 		View: n.prober, Leaves: n.leafSummary, KeepFor: directoryTTL(c.DirectoryTime),
@@ -191,7 +190,7 @@
 	c := n.config
 	n.messenger = messenger.New(messenger.Config{
 		NodeName: c.NodeName, Handler: n, Logger: c.Logger, Dial: dialPeer,
-		IdleLinkThreshold: idleLinkThreshold, OnFrameSent: n.observeFrame,
+		IdleLinkThreshold: idleLinkThreshold, MaxFrameBytes: maxFrameBytes, OnFrameSent: n.observeFrame,
 		ConfigDigest: func() uint64 { return 0 }, OnConfigDigest: func(string, uint64) {},
 	})
 	n.prober = prober.New(prober.Config{
@@ -209,10 +208,10 @@
 	c := n.config
 	connections := c.Metrics.NewCounter("stepfront_leaf_connections_opened_total")
 	n.balancer = balancer.New(balancer.Config{
-		Zone: c.AvailabilityZone, HeaderNames: c.HeaderNames.HeaderNames, MaxAnswerBytes: maxAnswerBytes,
-		LargeAnswers: semaphore.NewWeighted(max(maxAnswerBytes, int64(largeAnswersShare*float64(c.MemoryBytes)))),
-		ColdShare:    n.coldShare,
-		OnConnect:    connections.Inc, Random: rand.Float64, Logger: c.Logger,
+		Zone: c.AvailabilityZone, HeaderNames: c.HeaderNames.HeaderNames,
+		MaxAnswerBytes: maxAnswerBytesOf(c.MemoryBytes), Memory: n.answerMemory, ColdShare: n.coldShare,
+		OnConnect: connections.Inc, OnExcessBytes: c.Metrics.NewCounter("stepfront_leaf_answers_too_long_total").Inc,
+		Random: rand.Float64, Logger: c.Logger,
 	})
 	n.enroller = enroller.New(enroller.Config{
 		Pool: n.balancer, DrainTime: func() time.Duration { return n.settings.Load().DrainTime },
--- a/internal/upstream/balancer/balancer.go
+++ b/internal/upstream/balancer/balancer.go
@@ -15,8 +15,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
+	"github.com/magnoliastep/magnoliastep/internal/memory/reserver"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/apportioner"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/scorer"
@@ -36,6 +35,9 @@
 	latencyJitter = 0.08
 	// connectionWaitPenalty is added to the expected latency of a leaf at which a call would wait for a connection.
 	connectionWaitPenalty = 40 * time.Millisecond
+	// lastResortPenalty is added to the expected latency of a leaf whose last answer was too long. It is more than the
+	// expected latency of any other.
+	lastResortPenalty = time.Minute
 	// maxDeparted bounds the number of leaves that are remembered as having left.
 	maxDeparted = 4096
 	// defaultMaxConnections is the limit per leaf of a service that declares none.
@@ -82,12 +84,14 @@
 		HeaderNames exchanger.HeaderNames
 		// MaxAnswerBytes bounds the body of a leaf's answer.
 		MaxAnswerBytes int64
-		// LargeAnswers bounds the bytes of large answers that are being received at once; nil sets no bound.
-		LargeAnswers *semaphore.Weighted
+		// Memory bounds the bytes of large answers that are held at once; nil sets no bound.
+		Memory *reserver.Reserver
 		// ColdShare returns this node's share of a cold leaf's WarmUpRate, 0 to 1.
 		ColdShare func(leafID string) float64
 		// OnConnect is called for each attempt to connect to a leaf.
 		OnConnect func()
+		// OnExcessBytes, if not nil, is called for each answer that had more bytes than an answer may have.
+		OnExcessBytes func()
 		// Random returns random numbers from 0 to 1. It must be safe for concurrent use.
 		Random func() float64
 		Logger *slog.Logger
@@ -333,21 +337,21 @@
 	if !l.exchanger.HasCapacity() {
 		expected += connectionWaitPenalty
 	}
+	if l.exchanger.LastResort(now) {
+		expected += lastResortPenalty
+	}
 	return time.Duration(float64(expected) * (1 + latencyJitter*b.config.Random()))
 }
 
 func (b *Balancer) newLeaf(e Entry) *Leaf {
 	x := exchanger.New(exchanger.Config{
 		Address: e.Address, LeafID: e.ID, HeaderNames: b.config.HeaderNames, MaxAnswerBytes: b.config.MaxAnswerBytes,
-		OnConnect: b.config.OnConnect, LargeAnswers: b.config.LargeAnswers,
+		OnConnect: b.config.OnConnect, Memory: b.config.Memory,
 		OnLeaving: func() { b.leafLeaves(e) },
 		OnPause: func(d time.Duration) {
 			b.config.Logger.Info("leaf asks for a pause", "leaf", e.ID, "service", e.Service, "pause", d)
 		},
-		OnExcessBytes: func() {
-			b.config.Logger.Warn("leaf sent more bytes than an answer may have", "leaf", e.ID, "service", e.Service,
-				"address", e.Address)
-		},
+		OnExcessBytes: func() { b.noteExcess(e) },
 	})
 	if slices.Contains(b.departed, e.process()) {
 		x.SetLeaving()
--- a/internal/upstream/exchanger/acquire.go
+++ b/internal/upstream/exchanger/acquire.go
@@ -146,11 +146,13 @@
 	return err != nil || arrived
 }
 
-func setUserTimeout(_, _ string, rawConn syscall.RawConn) error {
+func setOptions(_, _ string, rawConn syscall.RawConn) error {
 	var optionError error
 	err := rawConn.Control(func(descriptor uintptr) {
-		optionError = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT,
-			int(userTimeout.Milliseconds()))
+		optionError = errors.CombineErrors(
+			unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds())),
+			unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes),
+		)
 	})
 	return errors.CombineErrors(err, optionError)
 }
--- a/internal/upstream/exchanger/endless_answer_test.go
+++ b/internal/upstream/exchanger/endless_answer_test.go
@@ -15,10 +15,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
-	"golang.org/x/sync/semaphore"
 
+	"github.com/magnoliastep/magnoliastep/internal/memory/reserver"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
-	"github.com/magnoliastep/magnoliastep/internal/upstream/readlimiter"
 )
 
 const (
@@ -113,7 +112,7 @@
 			is.True(after.TotalAlloc-before.TotalAlloc < endlessAllocationLimit)
 			waitUntil(t, func() bool { return l.ended.Load() == 1 }) // the connection is closed
 			is.True(l.sent.Load() < endlessReadLimit)
-			if errors.Is(err, readlimiter.ErrLimit) {
+			if errors.Is(err, exchanger.ErrTooLong) {
 				is.Equal(excessive.Load(), int64(1)) // the leaf is named to operators
 			}
 		})
@@ -131,12 +130,12 @@
 	body := strings.Repeat("x", answerBytes)
 	chunked := "HTTP/1.1 200 OK\r\nId: {id}\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\n" + body + "\r\n0\r\n\r\n"
 	stated := "HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 1048576\r\n\r\n" + body
-	room := semaphore.NewWeighted(answerBytes)
+	room := reserver.New(reserver.Config{Bytes: answerBytes})
 	var leaves []*exchanger.Exchanger
 	for i := range calls {
 		l, _ := newLeaf(t, []string{chunked, stated}[i%2])
 		e := exchanger.New(exchanger.Config{
-			Address: l.listener.Addr().String(), HeaderNames: names, MaxAnswerBytes: answerBytes, LargeAnswers: room,
+			Address: l.listener.Addr().String(), HeaderNames: names, MaxAnswerBytes: answerBytes, Memory: room,
 		})
 		t.Cleanup(e.Close)
 		leaves = append(leaves, e)
@@ -149,12 +148,13 @@
 			r.Deadline = time.Now().Add(20 * time.Second)
 			if reply, err := e.Do(t.Context(), t.Context(), r, func() bool { return true }); err == nil {
 				received.Add(int64(len(reply.Body)))
+				reply.Release()
 			}
 		})
 	}
 	running.Wait()
 	is.Equal(received.Load(), int64(calls*answerBytes))
-	is.True(room.TryAcquire(answerBytes)) // all room was given back
+	is.True(room.TryReserve(answerBytes) != nil) // all room was given back
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	_, err := leaves[0].Do(ctx, ctx, request("r"), func() bool { return true })
--- a/internal/upstream/exchanger/exchange.go
+++ b/internal/upstream/exchanger/exchange.go
@@ -1,9 +1,9 @@
 package exchanger
 
 import (
-	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/magnoliastep/magnoliastep/internal/memory/collector"
+	"github.com/magnoliastep/magnoliastep/internal/memory/reserver"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/readlimiter"
 )
 
@@ -25,8 +27,9 @@
 	maxInformationalAnswers = 8
 	// maxFramingFactor bounds what is read of a body, framing and trailer included, as a multiple of the largest body.
 	maxFramingFactor = 2
-	// smallBodyBytes is the largest body for which memory is allocated before the body has arrived.
-	smallBodyBytes = 64 << 10
+	// smallBodyBytes is the largest body of an answer for which no memory is reserved, and the largest body of a request
+	// that is sent together with its head.
+	smallBodyBytes = 16 << 10
 )
 
 // exchange sends one request on the connection and reads its answer. reusable is set when the connection may carry
@@ -37,7 +40,7 @@
 	}
 	// A leaf may answer and close before it has read the whole body, so an answer is read even after a failed
 	// write.
-	_, writeError := c.Write(e.encode(r))
+	writeError := e.writeRequest(c, r)
 	mismatched := 0
 	for ; mismatched <= maxMismatchedAnswers; mismatched++ {
 		var matched bool
@@ -56,11 +59,24 @@
 	return reply, reusable && writeError == nil && c.reader.Buffered() == 0, nil
 }
 
-// encode returns the bytes of the request: its head, completed with the fields that depend on leaf and time, and its
-// body.
-func (e *Exchanger) encode(r Request) []byte {
+// writeRequest writes the request. A large body is not copied, because the calls of all shards share it.
+func (e *Exchanger) writeRequest(c *connection, r Request) error {
+	if len(r.Body) <= smallBodyBytes {
+		_, err := c.Write(append(e.encodeHead(r, len(r.Body)), r.Body...))
+		return err
+	}
+	if _, err := c.Write(e.encodeHead(r, 0)); err != nil {
+		return err
+	}
+	_, err := c.Write(r.Body)
+	return err
+}
+
+// encodeHead returns the head of the request, completed with the fields that depend on leaf and time, with space for
+// spaceBytes more bytes.
+func (e *Exchanger) encodeHead(r Request, spaceBytes int) []byte {
 	left := max(minTimeLeft, time.Until(r.Deadline)).Milliseconds()
-	m := make([]byte, 0, len(r.Head)+len(r.Body)+addedFieldsBytes)
+	m := make([]byte, 0, len(r.Head)+spaceBytes+addedFieldsBytes)
 	m = append(m, r.Head...)
 	m = append(m, e.config.HeaderNames.TimeLeft...)
 	m = append(m, ": "...)
@@ -69,8 +85,7 @@
 	m = append(m, e.config.HeaderNames.LeafID...)
 	m = append(m, ": "...)
 	m = append(m, e.config.LeafID...)
-	m = append(m, "\r\n\r\n"...)
-	return append(m, r.Body...)
+	return append(m, "\r\n\r\n"...)
 }
 
 // readAnswer reads one answer. matched is false when the answer belongs to another request. The response's body is not
@@ -84,10 +99,15 @@
 		return nil, false, false, err
 	}
 	c.limiter.Allow(maxFramingFactor*e.config.MaxAnswerBytes + maxHeadBytes)
-	body, err := e.readBody(ctx, response, r.Deadline)
+	body, memory, err := e.readBody(ctx, response, r.Deadline)
 	if err != nil {
-		return nil, false, false, errors.Wrap(err, "read response body")
+		return nil, false, false, errors.Wrap(c.readError(err), "read response body")
 	}
+	defer func() {
+		if reply == nil {
+			memory.Release()
+		}
+	}()
 	names := e.config.HeaderNames
 	echoed := response.Header.Get(names.RequestID)
 	if echoed != "" && echoed != r.ID {
@@ -103,7 +123,7 @@
 		return nil, false, false, errors.New("answer has a Content-Encoding")
 	}
 	reply = &Reply{
-		Status: response.StatusCode, Header: response.Header, Body: body,
+		Status: response.StatusCode, Header: response.Header, Body: body, memory: memory,
 		NotRun: response.StatusCode == http.StatusMisdirectedRequest || response.Header.Get(names.NotRun) != "",
 		// A header of several values is no signature.
 		Signature:    response.Header.Get(names.Signature),
@@ -121,66 +141,101 @@
 	for range maxInformationalAnswers + 1 {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return nil, errors.Wrap(err, "read response head")
+			return nil, errors.Wrap(c.readError(err), "read response head")
 		}
 		switch {
 		case response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols:
 			return response, nil
 		case response.StatusCode < http.StatusContinue:
 			// It is no informational answer, so what follows may be its body.
-			return nil, errors.Newf("status %d is not valid", response.StatusCode)
+			return nil, errors.Wrapf(errMalformed, "status %d", response.StatusCode)
 		}
 	}
 	return nil, errors.Wrap(readlimiter.ErrLimit, "too many informational answers")
 }
 
-// readBody returns the complete body. A body that ends early or exceeds MaxAnswerBytes is an error.
-func (e *Exchanger) readBody(ctx context.Context, response *http.Response, deadline time.Time) ([]byte, error) {
+// readError marks an error of reading an answer that does not come from the connection or its end but from the bytes
+// that have arrived.
+func (c *connection) readError(err error) error {
+	var connectionError net.Error
+	switch {
+	case c.limiter.Exceeded(), errors.Is(err, http.ErrLineTooLong):
+		return errors.Mark(err, readlimiter.ErrLimit)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, context.Canceled),
+		errors.As(err, &connectionError), errors.Is(err, readlimiter.ErrLimit):
+		return err
+	}
+	return errors.Mark(err, errMalformed)
+}
+
+// readBody returns the complete body and the memory that is reserved for it. A body that ends early or exceeds
+// MaxAnswerBytes is an error.
+func (e *Exchanger) readBody(
+	ctx context.Context, response *http.Response, deadline time.Time,
+) ([]byte, *reserver.Reservation, error) {
 	limit, stated := e.config.MaxAnswerBytes, response.ContentLength
 	if stated > limit {
-		return nil, errors.Wrapf(readlimiter.ErrLimit, "response body of %d bytes", stated)
+		return nil, nil, errors.Wrapf(readlimiter.ErrLimit, "response body of %d bytes", stated)
 	}
-	if stated >= 0 && stated <= smallBodyBytes {
-		body := make([]byte, stated)
-		if _, err := io.ReadFull(response.Body, body); err != nil {
-			return nil, errors.Wrap(io.ErrUnexpectedEOF, err.Error())
-		}
-		return body, nil
+	if stated < 0 {
+		return e.readUnstatedBody(ctx, response, deadline)
 	}
-	var body bytes.Buffer
-	if _, err := body.ReadFrom(io.LimitReader(response.Body, smallBodyBytes)); err != nil {
-		return nil, err
-	}
-	if body.Len() == smallBodyBytes {
-		if err := e.readLargeBody(ctx, &body, response, deadline); err != nil {
-			return nil, err
+	var memory *reserver.Reservation
+	if stated > smallBodyBytes {
+		var err error
+		if memory, err = e.reserve(ctx, stated, deadline); err != nil {
+			return nil, nil, err
 		}
 	}
-	if int64(body.Len()) > limit {
-		return nil, errors.Wrapf(readlimiter.ErrLimit, "response body of more than %d bytes", limit)
+	body := make([]byte, stated)
+	if _, err := io.ReadFull(response.Body, body); err != nil {
+		memory.Release()
+		return nil, nil, errors.Wrap(io.ErrUnexpectedEOF, err.Error())
 	}
-	return body.Bytes(), nil
+	return body, memory, nil
 }
 
-// readLargeBody reads the rest of a large body. It waits until there is room for it among the large answers of all
-// leaves, at most until the deadline.
-func (e *Exchanger) readLargeBody(
-	ctx context.Context, body *bytes.Buffer, response *http.Response, deadline time.Time,
-) error {
-	room := response.ContentLength
-	if room < 0 {
-		room = e.config.MaxAnswerBytes
-	}
-	if e.config.LargeAnswers != nil {
-		ctx, cancel := context.WithDeadline(ctx, deadline)
-		defer cancel()
-		if err := e.config.LargeAnswers.Acquire(ctx, room); err != nil {
-			return errors.Wrap(err, "wait for room for a large response body")
+// readUnstatedBody is readBody for a body whose length is not stated. Room for the largest body is reserved as soon as
+// the body turns out not to be small; what the body did not need is released at its end.
+func (e *Exchanger) readUnstatedBody(
+	ctx context.Context, response *http.Response, deadline time.Time,
+) ([]byte, *reserver.Reservation, error) {
+	limit := e.config.MaxAnswerBytes
+	body := collector.New(collector.Config{Source: response.Body})
+	complete, err := body.Collect(min(smallBodyBytes, limit))
+	if complete || err != nil {
+		return body.Bytes(), nil, err
+	}
+	memory, err := e.reserve(ctx, collector.Room(limit), deadline)
+	if err != nil {
+		return nil, nil, err
+	}
+	complete, err = body.Collect(limit)
+	if err == nil && !complete {
+		if complete, err = body.Ended(); err == nil && !complete {
+			err = errors.Wrapf(readlimiter.ErrLimit, "response body of more than %d bytes", limit)
 		}
-		defer e.config.LargeAnswers.Release(room)
 	}
-	_, err := body.ReadFrom(io.LimitReader(response.Body, e.config.MaxAnswerBytes+1-int64(body.Len())))
-	return err
+	if err != nil {
+		memory.Release()
+		return nil, nil, err
+	}
+	memory.Shrink(int64(cap(body.Bytes())))
+	return body.Bytes(), memory, nil
+}
+
+// reserve reserves memory for a large answer. It waits for it at most until the deadline.
+func (e *Exchanger) reserve(ctx context.Context, bytes int64, deadline time.Time) (*reserver.Reservation, error) {
+	if e.config.Memory == nil {
+		return nil, nil //nolint:nilnil // a nil Reservation has no room and needs none
+	}
+	if v := e.config.Memory.TryReserve(bytes); v != nil {
+		return v, nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	v, err := e.config.Memory.Reserve(ctx, bytes)
+	return v, errors.Wrap(err, "wait for memory for a large response body")
 }
 
 // idleTimeout returns how long an idle connection may be kept: the timeout that the leaf states, less a margin, or
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -17,8 +17,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/semaphore"
 
+	"github.com/magnoliastep/magnoliastep/internal/memory/reserver"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/queuer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/readlimiter"
 )
@@ -41,6 +41,8 @@
 	minTimeLeft = time.Millisecond
 	// leavingValue is the value of HeaderNames.Leaving that says that the leaf is leaving.
 	leavingValue = "1"
+	// receiveBufferBytes bounds what has arrived on a connection and waits for room in memory.
+	receiveBufferBytes = 64 << 10
 	// readBufferBytes has room for the head of an answer and a small body.
 	readBufferBytes = 2 << 10
 )
@@ -59,6 +61,13 @@
 	// ErrNoCompleteAnswer means that the connection ended or carried no complete answer, so the leaf may have run the
 	// request.
 	ErrNoCompleteAnswer = errors.New("leaf: no complete answer")
+	// ErrTooLong is an ErrNoCompleteAnswer for an answer with more bytes than an answer may have.
+	ErrTooLong = errors.Wrap(ErrNoCompleteAnswer, "too long")
+	// ErrMalformed is an ErrNoCompleteAnswer for bytes that are no answer.
+	ErrMalformed = errors.Wrap(ErrNoCompleteAnswer, "malformed")
+
+	// errMalformed marks the reason of an ErrMalformed.
+	errMalformed = errors.New("peer sent no HTTP answer")
 )
 
 type (
@@ -87,9 +96,9 @@
 		HeaderNames HeaderNames
 		// MaxAnswerBytes is the largest accepted body of an answer.
 		MaxAnswerBytes int64
-		// LargeAnswers bounds the bytes of large answers that are being received at once, from all leaves. Nil sets no
-		// bound.
-		LargeAnswers *semaphore.Weighted
+		// Memory bounds the bytes of large answers of all leaves, from before they are read until they are released. Nil
+		// sets no bound.
+		Memory *reserver.Reserver
 		// OnConnect, if not nil, is called before each attempt to connect.
 		OnConnect func()
 		// OnLeaving, if not nil, is called once, when the leaf has said that it is leaving.
@@ -118,6 +127,9 @@
 		InTimeUntil time.Time
 		// SendBy is the latest useful time to send the request; zero means the Deadline.
 		SendBy time.Time
+		// AfterExcess is set when another leaf's answer to the request was too long or malformed, so that the request may
+		// be the reason for a further one.
+		AfterExcess bool
 	}
 
 	// Reply is a complete answer.
@@ -132,6 +144,8 @@
 		// Unidentified is set when the answer has no request ID although earlier ones on its connection had. It may be
 		// left over from an earlier request, so it says nothing certain about this one.
 		Unidentified bool
+		// memory is reserved for Body; nil for a small one.
+		memory *reserver.Reservation
 	}
 
 	// Exchanger holds the connections to one leaf. It is safe for concurrent use.
@@ -162,6 +176,12 @@
 		leaving bool
 		// pausedUntil is when the leaf may be called again after it has asked for a pause. No request waits until then.
 		pausedUntil time.Time
+		// excesses is how many answers in a row were too long or malformed. No second request is in flight while it is
+		// above 0.
+		excesses int
+		// excessAt is when the last of them ended, and lastResortUntil until when the leaf is called only if there is no
+		// other.
+		excessAt, lastResortUntil time.Time
 		// closed is set for good by Close; callable is not set any more then.
 		closed bool
 	}
@@ -192,7 +212,7 @@
 // New returns an Exchanger without connections, to which requests may be sent.
 func New(c Config) *Exchanger {
 	e := &Exchanger{config: c, callable: true}
-	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	e.dialer = net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setOptions}
 	e.connectionLimit.Store(1)
 	e.share.Store(math.MaxInt32)
 	e.concurrencyLimit = math.MaxInt32
@@ -265,6 +285,7 @@
 	if r.Unidentified || r.Status == http.StatusMisdirectedRequest {
 		return
 	}
+	e.clearExcess()
 	if d := requestedPause(r); d > 0 {
 		e.pause(d)
 		if e.config.OnPause != nil {
@@ -331,25 +352,41 @@
 		e.release(c, stop())
 		return nil, ErrWithdrawn
 	}
+	startedAt := time.Now()
 	reply, reusable, err := e.exchange(ctx, c, r)
 	if !stop() {
 		reusable = false
 	}
 	if err == nil {
 		e.observe(reply)
+	} else {
+		err = errors.CombineErrors(e.classify(err, r, startedAt), err)
 	}
 	e.release(c, reusable && err == nil)
-	if err != nil {
-		if errors.Is(err, readlimiter.ErrLimit) && e.config.OnExcessBytes != nil {
+	return reply, err
+}
+
+// classify returns the kind of a failed exchange, and takes account of an answer that was too long or malformed.
+func (e *Exchanger) classify(err error, r Request, startedAt time.Time) error {
+	switch {
+	case errors.Is(err, readlimiter.ErrLimit):
+		e.noteExcess(r, startedAt)
+		if e.config.OnExcessBytes != nil {
 			e.config.OnExcessBytes()
 		}
-		return nil, errors.CombineErrors(ErrNoCompleteAnswer, err)
+		return ErrTooLong
+	case errors.Is(err, errMalformed):
+		e.noteExcess(r, startedAt)
+		return ErrMalformed
 	}
-	return reply, nil
+	return ErrNoCompleteAnswer
 }
 
 // maxInFlight returns how many requests may be in flight now, at least 1.
 func (e *Exchanger) maxInFlight() int {
+	if e.excesses > 0 {
+		return 1
+	}
 	return max(1, min(int(e.concurrencyLimit), e.fixedLimit()))
 }
 
--- a/internal/upstream/readlimiter/readlimiter.go
+++ b/internal/upstream/readlimiter/readlimiter.go
@@ -23,6 +23,8 @@
 		source io.Reader
 		// left is how many more bytes may be read, at least 0.
 		left int64
+		// exceeded is set when a read has failed since the last call of Allow.
+		exceeded bool
 	}
 )
 
@@ -33,12 +35,16 @@
 
 // Allow sets how many more bytes may be read, whatever was left before.
 func (l *Limiter) Allow(bytes int64) {
-	l.left = max(0, bytes)
+	l.left, l.exceeded = max(0, bytes), false
 }
 
+// Exceeded reports whether more was to be read than the last call of Allow has allowed.
+func (l *Limiter) Exceeded() bool { return l.exceeded }
+
 // Read reads at most as many bytes as are left. It returns ErrLimit if none are.
 func (l *Limiter) Read(p []byte) (int, error) {
 	if l.left == 0 && len(p) > 0 {
+		l.exceeded = true
 		return 0, ErrLimit
 	}
 	n, err := l.source.Read(p[:min(int64(len(p)), l.left)])
