Leaf answers: an answer to HEAD has no body, whatever length it states

A caller's HEAD request ended with 502 if the leaf's answer stated a length above 0, because the body of that length never came.

--- a/internal/upstream/exchanger/excess_test.go
+++ b/internal/upstream/exchanger/excess_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -158,3 +159,18 @@
 		})
 	}
 }
+
+// Guards against an answer to HEAD that counts as broken off because it has no body of the length that it states.
+func TestAnswerToHeadHasNoBody(t *testing.T) {
+	is := is.New(t)
+	l, e := newLeaf(t, "HTTP/1.1 200 OK\r\nId: {id}\r\nSign: s\r\nContent-Length: 99999999\r\n\r\n")
+	for i := range 2 {
+		r := request("r1")
+		r.Method, r.Head = http.MethodHead, []byte("HEAD / HTTP/1.1\r\nHost: h\r\nId: r1\r\n")
+		reply, err := e.Do(t.Context(), t.Context(), r, func() bool { return true })
+		is.NoErr(err)
+		is.Equal(len(reply.Body), 0)
+		is.Equal(l.requests.Load(), int64(i+1))
+	}
+	is.Equal(l.connections.Load(), int64(1)) // the connection is used again
+}
--- a/internal/upstream/exchanger/exchange.go
+++ b/internal/upstream/exchanger/exchange.go
@@ -174,6 +174,9 @@
 	ctx context.Context, response *http.Response, deadline time.Time,
 ) ([]byte, *reserver.Reservation, error) {
 	limit, stated := e.config.MaxAnswerBytes, response.ContentLength
+	if response.Body == http.NoBody {
+		return nil, nil, nil // whatever length the answer to a HEAD states
+	}
 	if stated > limit {
 		return nil, nil, errors.Wrapf(readlimiter.ErrLimit, "response body of %d bytes", stated)
 	}
