--- a/internal/forward/gatherer/panic.go
+++ b/internal/forward/gatherer/panic.go
@@ -14,7 +14,9 @@
 var errPanicked = errors.New("call panicked")
 
 // safeCall makes one call and reports its end as an event also if it panics.
-func (n *run) safeCall(shardIndex, attemptIndex int, leaf *balancer.Leaf, state *sendState, droppable bool) {
+func (n *run) safeCall(
+	shardIndex, attemptIndex int, leaf *balancer.Leaf, state *sendState, droppable, afterExcess bool,
+) {
 	startedAt := time.Now()
 	defer func() {
 		p := recover()
@@ -27,7 +29,7 @@
 		}
 		now := time.Now()
 		leaf.Scorer().End(startedAt, now, 0, n.typicalLatency, scorer.Failure)
-		n.events <- event{shard: shardIndex, attempt: attemptIndex, err: errPanicked, took: now.Sub(startedAt)}
+		n.report(event{shard: shardIndex, attempt: attemptIndex, err: errPanicked, took: now.Sub(startedAt)})
 	}()
-	n.call(startedAt, shardIndex, attemptIndex, leaf, state, droppable)
+	n.call(startedAt, shardIndex, attemptIndex, leaf, state, droppable, afterExcess)
 }
--- a/internal/forward/server/answer.go
+++ b/internal/forward/server/answer.go
@@ -134,8 +134,7 @@
 	}
 	x.answer = answerBegun
 	x.writer.WriteHeader(status)
-	// A write fails only if the caller has disconnected.
-	_, _ = x.writer.Write(body)
+	x.writeBytes(body)
 	x.answer = answerWritten
 }
 
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -5,21 +5,18 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/magnoliastep/magnoliastep/internal/forward/deferrer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
 	"github.com/magnoliastep/magnoliastep/internal/forward/tracer"
+	"github.com/magnoliastep/magnoliastep/internal/memory/reserver"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
 )
 
@@ -74,6 +71,8 @@
 		Logger  *slog.Logger
 		// Random returns random numbers from 0 to 1. It is safe for concurrent use.
 		Random func() float64
+		// Memory bounds the bytes of large bodies of requests that are held at once; nil sets no bound.
+		Memory *reserver.Reserver
 	}
 
 	// Server handles callers' requests. It is safe for concurrent use.
@@ -156,10 +155,10 @@
 	s.progress.add(x)
 	defer s.progress.remove(x)
 	body, ok := x.readBody(m.Limits().MaxBodyBytes)
-	if !ok {
-		return
+	defer x.memory.Release()
+	if ok {
+		x.run(body)
 	}
-	x.run(body)
 }
 
 // exchange is the state of one request and its answer.
@@ -178,46 +177,8 @@
 	// retryAfter is the delay that a refused caller is told; 0 for a request that is not refused.
 	retryAfter time.Duration
 	services   []string
-}
-
-// readBody reads the request's body. If that fails, it answers the caller and returns false.
-func (x *exchange) readBody(limit int64) ([]byte, bool) {
-	if x.request.Body == nil || x.request.ContentLength == 0 {
-		return nil, true
-	}
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
-	// Limits the wait for a caller that stops in the middle of its body to the timeout of the route.
-	control := http.NewResponseController(x.writer)
-	reads := &x.server.bodyReads
-	if err := reads.begin(control, x.arrivedAt.Add(x.route.Timeout)); err != nil {
-		x.server.config.Logger.Debug("failed to set the read deadline of a request body", "request_id", x.id, "error", err)
-	}
-	body, err := io.ReadAll(reader)
-	reads.end(control)
-	if err == nil {
-		if err := control.SetReadDeadline(time.Time{}); err != nil {
-			x.server.config.Logger.Debug("failed to clear the read deadline of a request body", "request_id", x.id, "error", err)
-		}
-		return body, true
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		x.fail(http.StatusRequestEntityTooLarge, "body_too_large", gatherer.Result{})
-	case errors.Is(err, os.ErrDeadlineExceeded) && reads.ended(time.Now()):
-		x.writer.Header().Set("Connection", "close")
-		x.refuse("node_stopping", deferrer.NodeStopping, gatherer.Result{})
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.writer.Header().Set("Connection", "close")
-		x.fail(http.StatusRequestTimeout, "body_too_slow", gatherer.Result{})
-	default:
-		x.writer.Header().Set("Connection", "close")
-		x.fail(http.StatusBadRequest, "body_not_read", gatherer.Result{})
-	}
-	return nil, false
+	// memory is reserved for the body of the request; nil for a small one.
+	memory *reserver.Reservation
 }
 
 // run has leaves run the request and writes the answer.
@@ -239,6 +200,7 @@
 		Target:  x.route.TargetLatency - outboundDelay,
 		Timeout: timeSpent + timeout - outboundDelay,
 	})
+	defer result.Release()
 	x.stage.Store(stageAnswer)
 	x.write(result)
 }
--- a/internal/node/forwarder/failing_server_test.go
+++ b/internal/node/forwarder/failing_server_test.go
@@ -32,7 +32,7 @@
 	peers     = "127.0.0.1:4"
 	metricses = "127.0.0.1:5"
 
-	leafTime     = 400 * time.Millisecond
+	leafTime      = 400 * time.Millisecond
 	shortStopTime = time.Second
 )
 
