--- a/internal/forward/tracer/tracer.go
+++ b/internal/forward/tracer/tracer.go
@@ -94,13 +94,16 @@
 // NewContext returns a context for the requests of a connection. c may wrap a traced connection that its method NetConn
 // returns.
 func NewContext(ctx context.Context, c net.Conn) context.Context {
-	if w, ok := c.(interface{ NetConn() net.Conn }); ok {
+	for {
+		if t, ok := c.(*connection); ok {
+			return context.WithValue(ctx, connectionKey{}, t)
+		}
+		w, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return ctx
+		}
 		c = w.NetConn()
 	}
-	if t, ok := c.(*connection); ok {
-		return context.WithValue(ctx, connectionKey{}, t)
-	}
-	return ctx
 }
 
 // SetRequestID sets the ID of the request that has been read from the connection of the context.
--- a/internal/forward/tracer/tracer_test.go
+++ b/internal/forward/tracer/tracer_test.go
@@ -18,7 +18,11 @@
 	"github.com/magnoliastep/magnoliastep/internal/forward/tracer"
 )
 
-const headerTimeout = 50 * time.Millisecond
+const (
+	headerTimeout = 50 * time.Millisecond
+	// logTimeout bounds the wait for a line of the log.
+	logTimeout = 10 * time.Second
+)
 
 // fixture is an HTTP server whose connections are traced.
 type fixture struct {
@@ -127,7 +131,10 @@
 			if c.logged == "" {
 				return
 			}
-			for !strings.Contains(f.logged(), c.logged) {
+			for deadline := time.Now().Add(logTimeout); !strings.Contains(f.logged(), c.logged); {
+				if time.Now().After(deadline) {
+					t.Fatalf("no line has %s: %s", c.logged, f.logged())
+				}
 				time.Sleep(time.Millisecond)
 			}
 			is.True(strings.Contains(f.logged(), "cause="+string(c.cause)))
