Reaper: a request that the server has read already keeps its connection

Callers saw: of two requests sent in one piece the second one gets no answer, although it is read whole and passed on, if the answer to the first was begun before SIGTERM and ends after idle connections are closed.

Cause: after the first answer the connection is reported idle, and a draining reaper closed it at once. The second request was in the server's buffer by then, where the reaper can't see it; the server parses it and runs its handler on the closed connection.

Fix: the reaper does not close connections itself. It makes the server's next read fail; the server then closes the connection, unless it finds a request in its buffer and does not read. A connection with a request is open again for its answer. It counts as busy until the server says that it is closed.

Three tests called Observe without a server behind and expected the close in that call. They now have what a server does next (readNext: a read, and the close if it fails), and still require that the caller sees the end and nothing is busy.

--- a/internal/discovery/reaper/connection.go
+++ b/internal/discovery/reaper/connection.go
@@ -16,7 +16,7 @@
 	requestBegun
 	// requestOverdue means the same, and that the connection was kept open for it once after its idle time was over.
 	requestOverdue
-	// requestRefused means that the connection is being closed and no further byte may be read.
+	// requestRefused means that the server closes the connection at its next read, unless it has a request already.
 	requestRefused
 )
 
@@ -91,13 +91,11 @@
 func (c *connection) beginRequest() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.state != requestRefused {
-		c.state = requestBegun
-	}
+	c.state = requestBegun
 }
 
-// refuseRequest closes the connection and returns true, unless a byte of a request has arrived since the connection
-// became idle. Then it returns false, but true when it is called again before a further byte has come.
+// refuseRequest has the server close the connection and returns true, unless a byte of a request has arrived since the
+// connection became idle. Then it returns false, but true when it is called again before a further byte has come.
 func (c *connection) refuseRequest() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -105,39 +103,30 @@
 		c.state = requestOverdue
 		return false
 	}
-	c.closeLocked()
+	c.refuseLocked()
 	return true
 }
 
-// refuseUnlessBegun closes the connection and returns true, unless a byte of a request has arrived since the connection
-// was opened or became idle.
-func (c *connection) refuseUnlessBegun() bool {
+// refuseUnlessBegun has the server close the connection unless a byte of a request has arrived since the connection was
+// opened or became idle.
+func (c *connection) refuseUnlessBegun() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.state == requestBegun || c.state == requestOverdue || c.state == noRequest && c.bytesWait() {
-		return false
+		return
 	}
-	c.closeLocked()
-	return true
+	c.refuseLocked()
 }
 
-// closeLocked closes the connection, or lets a read that is under way end at once. If that read gets bytes all the
-// same, they are of a request, and the connection stays open for its answer; if not, the server closes the connection.
-func (c *connection) closeLocked() {
+// refuseLocked lets a read that is under way end at once, or the next one fail, after which the server closes the
+// connection. If the server has a request all the same, because a read gets bytes or bytes were read together with the
+// request before, the connection stays open for its answer.
+func (c *connection) refuseLocked() {
 	c.state = requestRefused
-	// The caller sees the closed connection; no other action is possible on an error.
 	if c.reading {
+		// The caller sees the closed connection; no other action is possible on an error.
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-		return
 	}
-	_ = c.Close()
-}
-
-// closed reports whether the connection has been closed; if it is being closed by the server, not yet.
-func (c *connection) closed() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.state == requestRefused && !c.reading
 }
 
 // bytesWait reports whether bytes have arrived that the server has not read yet, as on a machine that is slowed down.
--- a/internal/discovery/reaper/reaper.go
+++ b/internal/discovery/reaper/reaper.go
@@ -108,8 +108,8 @@
 // drain closes a connection unless a request has begun to arrive on it.
 func (r *Reaper) drain(c net.Conn) {
 	r.busy[c] = struct{}{}
-	if t, tracked := c.(*connection); tracked && t.refuseUnlessBegun() && t.closed() {
-		delete(r.busy, c)
+	if t, tracked := c.(*connection); tracked {
+		t.refuseUnlessBegun()
 	}
 }
 
--- a/internal/discovery/reaper/reaper_test.go
+++ b/internal/discovery/reaper/reaper_test.go
@@ -42,6 +42,20 @@
 	return caller, accepted
 }
 
+// readNext does what the server does with an idle or new connection: it reads, and closes the connection if that fails.
+// The channel is closed afterwards.
+func readNext(r *reaper.Reaper, accepted net.Conn) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if _, err := accepted.Read(make([]byte, 1)); err != nil {
+			_ = accepted.Close()
+			r.Observe(accepted, http.StateClosed)
+		}
+	}()
+	return done
+}
+
 // Guards against the loss of a request of which the server has read the first bytes when the idle time ends.
 func TestConnectionIsNotClosedOnceRequestBegins(t *testing.T) {
 	is := is.New(t)
@@ -75,6 +89,7 @@
 	is.NoErr(err)
 	clock.Advance(time.Second).MustWait(t.Context())
 	clock.Advance(time.Second).MustWait(t.Context())
+	readNext(r, accepted)
 	_, err = caller.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
 }
@@ -105,8 +120,10 @@
 	is.NoErr(err)
 	r.Drain()
 	r.Observe(accepted, http.StateNew)
+	closed := readNext(r, accepted)
 	_, err = caller.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
+	<-closed
 	is.Equal(r.Busy(), 0)
 }
 
@@ -143,8 +160,10 @@
 			}
 			r.Drain()
 			if !c.kept {
+				closed := readNext(r, accepted)
 				_, err := caller.Read(make([]byte, 1))
 				is.Equal(err, io.EOF)
+				<-closed
 				is.Equal(r.Busy(), 0)
 				return
 			}
@@ -153,8 +172,10 @@
 			_, err = accepted.Read(make([]byte, 10)) // the rest of the request still arrives
 			is.NoErr(err)
 			r.Observe(accepted, http.StateIdle) // the request has been answered
+			closed := readNext(r, accepted)
 			_, err = caller.Read(make([]byte, 1))
 			is.Equal(err, io.EOF)
+			<-closed
 			is.Equal(r.Busy(), 0)
 		})
 	}
