Callers' connections: unread bytes do not cut off the answer before them

Callers saw: connection reset in the middle of an answer, with the request run by a leaf. It takes an answer after which this node closes the connection (a stop, a refusal), a caller that has sent more meanwhile (its next request, or a line end after its body), and an answer that has not been acknowledged whole: a large one, a slow caller, a lost packet.

Cause: the HTTP server reads one byte of what follows while a request runs. The rest stays in the socket, and closing a socket with unread bytes resets the connection and drops what it has still to send. net/http waits before it closes only if it has not read the request's own body.

Fix: a connection with unread bytes ends its sending direction first, then reads what comes until the caller closes, for at most 500 ms and 256 KiB, as net/http does after unread bodies. Planned stops wait for that, because the connection counts as busy until it is closed.

--- a/internal/discovery/reaper/connection.go
+++ b/internal/discovery/reaper/connection.go
@@ -1,6 +1,7 @@
 package reaper
 
 import (
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -20,6 +21,13 @@
 	requestRefused
 )
 
+const (
+	// lingerTime is how long a connection that is closed while bytes of the caller are unread stays open for the caller
+	// to read the answer, and lingerBytes how many more bytes are read meanwhile.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
+)
+
 type (
 	requestState int
 
@@ -155,6 +163,15 @@
 	return err == nil && waiting > 0
 }
 
+// Close implements net.Conn. Unread bytes would reset the connection and take the end of the answer with it, so the
+// caller is first told that nothing follows, and what it sends is read until it closes.
+func (c *connection) Close() error {
+	if c.bytesWait() && c.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	return c.Conn.Close()
+}
+
 // CloseWrite ends the sending direction, for a server that closes a connection on which bytes may still arrive.
 func (c *connection) CloseWrite() error {
 	w, ok := c.Conn.(interface{ CloseWrite() error })
