Leaves: a call that panics gives its connection back

Callers would see: after a panic in a call to a leaf that takes one request at a time, all further requests to that leaf wait for a connection until their time is over, until the node is started again.

Cause: since panics of calls are recovered, the connection that the call had reserved stays counted as busy and open.

Evidence: TestCallThatPanicsGivesItsConnectionBack failed before, for a panic while connecting and one before sending. No panic of this kind is known.

Fix: the use of a connection releases it before a panic goes on.

--- a/internal/upstream/exchanger/acquire.go
+++ b/internal/upstream/exchanger/acquire.go
@@ -85,6 +85,7 @@
 
 // dial opens a connection that takeLocked has already counted in open and busy.
 func (e *Exchanger) dial(ctx context.Context) (*connection, error) {
+	defer e.releaseAfterPanic(nil)
 	if e.config.OnConnect != nil {
 		e.config.OnConnect()
 	}
@@ -119,6 +120,14 @@
 	}
 }
 
+// releaseAfterPanic is deferred by the use of a connection; a panic goes on.
+func (e *Exchanger) releaseAfterPanic(c *connection) {
+	if p := recover(); p != nil {
+		e.release(c, false)
+		panic(p)
+	}
+}
+
 // serveWaitersLocked hands connections to waiters as long as the limits allow more requests in flight.
 func (e *Exchanger) serveWaitersLocked() {
 	now := time.Now()
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -341,6 +341,7 @@
 	if err != nil {
 		return nil, errors.CombineErrors(ErrNotSent, err)
 	}
+	defer e.releaseAfterPanic(c)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	// The leaf may have left while the connection was opened.
 	if !e.Callable() {
