Callers: memory for bodies without a stated length is reserved only once they are large

Callers would see: 503 for requests with small chunked bodies as soon as a few of them are being read, two or three at a time on a small machine, because each reserved the room of the largest body. The first 16 KiB are read without a reservation now, as for leaves' answers, and what a body did not need is released at its end.

--- a/internal/forward/server/body.go
+++ b/internal/forward/server/body.go
@@ -21,6 +21,9 @@
 	writeMargin = 2 * time.Second
 )
 
+// errNoMemory means that there is no memory for a body.
+var errNoMemory = errors.New("no memory for a body")
+
 // readBody reads the request's body. If that fails, it answers the caller and returns false.
 func (x *exchange) readBody(limit int64) ([]byte, bool) {
 	if x.request.Body == nil || x.request.ContentLength == 0 {
@@ -35,12 +38,6 @@
 	if err := reads.begin(control, x.arrivedAt.Add(x.route.Timeout)); err != nil {
 		x.server.config.Logger.Debug("failed to set the read deadline of a request body", "request_id", x.id, "error", err)
 	}
-	if !x.reserveBody(limit) {
-		reads.end(control)
-		x.writer.Header().Set("Connection", "close")
-		x.refuse("no_memory", deferrer.NoCapacity, gatherer.Result{})
-		return nil, false
-	}
 	body, err := x.collectBody(limit)
 	reads.end(control)
 	if err != nil {
@@ -57,6 +54,9 @@
 func (x *exchange) refuseBody(err error) {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		x.writer.Header().Set("Connection", "close")
+		x.refuse("no_memory", deferrer.NoCapacity, gatherer.Result{})
 	case errors.As(err, &tooLarge):
 		x.fail(http.StatusRequestEntityTooLarge, "body_too_large", gatherer.Result{})
 	case errors.Is(err, os.ErrDeadlineExceeded) && x.server.bodyReads.ended(time.Now()):
@@ -71,39 +71,52 @@
 	}
 }
 
-// reserveBody reserves memory for a large body, and reports whether there is enough. A body that states more than the
-// limit needs none, because it is not read.
-func (x *exchange) reserveBody(limit int64) bool {
-	room := x.request.ContentLength
-	if room < 0 {
-		room = collector.Room(limit)
-	}
-	if x.server.config.Memory == nil || room <= smallBodyBytes || x.request.ContentLength > limit {
+// reserveBody reserves memory for a body, and reports whether there is enough.
+func (x *exchange) reserveBody(bytes int64) bool {
+	if x.server.config.Memory == nil || bytes <= smallBodyBytes {
 		return true
 	}
-	x.memory = x.server.config.Memory.TryReserve(room)
+	x.memory = x.server.config.Memory.TryReserve(bytes)
 	return x.memory != nil
 }
 
-// collectBody reads the whole body. A body of more than limit bytes is an http.MaxBytesError.
+// collectBody reads the whole body. A body of more than limit bytes is an http.MaxBytesError, and one for which there
+// is no memory an errNoMemory.
 func (x *exchange) collectBody(limit int64) ([]byte, error) {
 	stated := x.request.ContentLength
+	if stated < 0 {
+		return x.collectUnstatedBody(limit)
+	}
 	if stated > limit {
 		x.writer.Header().Set("Connection", "close")
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
-	if stated >= 0 {
-		body := make([]byte, stated)
-		_, err := io.ReadFull(x.request.Body, body)
-		return body, err
+	if !x.reserveBody(stated) {
+		return nil, errNoMemory
 	}
+	body := make([]byte, stated)
+	_, err := io.ReadFull(x.request.Body, body)
+	return body, err
+}
+
+// collectUnstatedBody is collectBody for a body whose length is not stated. Room for the largest body is reserved as
+// soon as the body turns out not to be small; what it did not need is released at its end.
+func (x *exchange) collectUnstatedBody(limit int64) ([]byte, error) {
 	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
 	body := collector.New(collector.Config{Source: reader})
 	// The limit is a byte higher, so that the reader's own is the one that ends a body.
-	complete, err := body.Collect(limit + 1)
+	complete, err := body.Collect(min(smallBodyBytes, limit+1))
+	if complete || err != nil {
+		return body.Bytes(), err
+	}
+	if !x.reserveBody(collector.Room(limit)) {
+		return nil, errNoMemory
+	}
+	complete, err = body.Collect(limit + 1)
 	if err == nil && !complete {
 		err = &http.MaxBytesError{Limit: limit}
 	}
+	x.memory.Shrink(int64(cap(body.Bytes())))
 	return body.Bytes(), err
 }
 
--- a/internal/forward/server/body_test.go
+++ b/internal/forward/server/body_test.go
@@ -79,6 +79,28 @@
 	is.Equal(memory.Reserved(), int64(0))
 }
 
+// Guards against small bodies without a stated length that are refused although there is memory for them.
+func TestSmallBodiesWithoutLengthNeedNoMemory(t *testing.T) {
+	is := is.New(t)
+	_, memory, address := newLargeBodyFixture(t, largeBodyBytes)
+	const head = "POST /one/x HTTP/1.1\r\nHost: h\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+	slow, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = slow.Close() }()
+	_, err = io.WriteString(slow, head)
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond) // the bytes have been read
+	is.Equal(memory.Reserved(), int64(0))
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, head+"0\r\n\r\n")
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 200)
+}
+
 func TestBodiesOfAllLengthsAreReadWholeOrRefused(t *testing.T) {
 	for _, length := range []int{0, 1, 16 << 10, 16<<10 + 1, largeBodyBytes - 1, largeBodyBytes, largeBodyBytes + 1} {
 		for _, chunked := range []bool{false, true} {
