Metric of leaves left alone: compare times of one clock

The pauses of leaves are times of the steady clock; the node's clock differs from it by each change of the time of day since the start. Only the gauge was wrong. Found by reading; no test.

--- a/internal/node/forwarder/metrics.go
+++ b/internal/node/forwarder/metrics.go
@@ -27,7 +27,7 @@
 		"stepfront_serving_nodes": func() float64 { return float64(n.servingNodes()) },
 		"stepfront_in_progress":   func() float64 { return float64(n.server.InProgress()) },
 		"stepfront_leaves_left_alone": func() float64 {
-			return float64(n.balancer.LeftAlone(n.config.Clock.Now()))
+			return float64(n.balancer.LeftAlone(time.Now()))
 		},
 	} {
 		n.config.Metrics.NewGauge(name, read)
