Planned stop: begins also while the settings file can't be read

Callers would see: SIGTERM has no effect while a read of the settings file stands still, as on a disk that hangs. The node goes on serving until it is killed at the end of its grace time, and all its requests end without an answer.

Cause: the stop began when the watcher of the settings returned, and only the watcher's last read had a time limit. A SIGTERM during its regular read (each 2 s, or after SIGHUP) waited for that read.

Evidence: TestStopBeginsWhileSettingsAreNotReadable (settings file replaced by a named pipe) failed before: the process had not ended 6 s after SIGTERM.

Fix: the stop begins when the watcher has returned, or 100 ms after the signal.

--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -26,7 +26,7 @@
 	maxLogLinesPerSecond = 200
 	// settingsPollPeriod is the time between two reads of the settings file, which may change without a signal.
 	settingsPollPeriod = 2 * time.Second
-	// lastReloadTimeout bounds by how long the last look at the settings file may delay a planned stop.
+	// lastReloadTimeout bounds by how long reading the settings file may delay a planned stop.
 	lastReloadTimeout = 100 * time.Millisecond
 	// memoryLimitShare is the share of the memory in the settings that becomes the garbage collector's soft limit.
 	memoryLimitShare = 0.7
@@ -76,11 +76,20 @@
 	n := forwarder.New(node)
 	stopContext, beginStop := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer beginStop(nil)
+	watched := make(chan struct{})
 	go func() {
+		defer close(watched)
 		v.watchSettings(ctx, c, logger, data, func(s platform.Settings) {
 			store.SetAddress(s.StoreAddress)
 			n.Reload(reloadableSettings(s))
 		})
+	}()
+	go func() {
+		<-ctx.Done()
+		select {
+		case <-watched:
+		case <-time.After(lastReloadTimeout):
+		}
 		beginStop(context.Cause(ctx))
 	}()
 	err = n.Run(stopContext)
@@ -111,15 +120,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				reloadSettings(path, last, false, logger, reload)
-			}()
-			select {
-			case <-done:
-			case <-time.After(lastReloadTimeout):
-			}
+			reloadSettings(path, last, false, logger, reload)
 			return
 		case <-c.Signals.Reloads():
 			last = reloadSettings(path, last, true, logger, reload)
