--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -29,7 +29,7 @@
 	leaf.Scorer().Begin(startedAt)
 	sentAt := time.Time{}
 	message := n.request.Message
-	message.Priority, message.AfterExcess = n.request.Route.Priority, afterExcess
+	message.Priority, message.AfterExcess = n.request.Priority, afterExcess
 	message.InTimeUntil = n.sendDeadline(leaf, startedAt)
 	if droppable {
 		message.SendBy = message.InTimeUntil
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -71,6 +71,10 @@
 		Route *matcher.Route
 		// Services has the service of each shard, or the single service of a request without shards.
 		Services []string
+		// Account is the name of the client account, or "" if the configuration has none.
+		Account string
+		// Priority is the rank of the request: that of its account, or else of its route; 0 is the highest.
+		Priority int
 		// Message is the request as it is sent to leaves. Its Deadline applies to every send.
 		Message exchanger.Request
 		// ArrivedAt is when the request arrived at this node.
--- a/internal/forward/matcher/matcher.go
+++ b/internal/forward/matcher/matcher.go
@@ -16,9 +16,25 @@
 		Version  int64
 		Routes   []Route
 		Services []Service
+		// Accounts has the client accounts. If there are any, a request needs the key of one unless its route is Public.
+		Accounts []Account
 		Limits   Limits
 	}
 
+	// Account is a client account.
+	Account struct {
+		// Name is unique among the accounts. Leaves are told it; it is no secret.
+		Name string
+		// Keys are the secrets by which callers prove that they belong to the account. They must not appear in logs.
+		Keys []string
+		// Rate is the quota of all nodes together in requests per second, and Burst the number of requests on top; a Rate
+		// of 0 sets no limit.
+		Rate, Burst float64
+		// Priority is the rank of the account's requests if HasPriority is set; it goes before that of the route.
+		Priority    int
+		HasPriority bool
+	}
+
 	// Route says how requests for a host under a path prefix are served. Exactly one of Targets and Shards is
 	// not empty.
 	Route struct {
@@ -45,6 +61,8 @@
 		TopRecords int
 		// MinCoverage is the minimum share of shards in a successful answer, 0 to 1.
 		MinCoverage float64
+		// Public routes need no key of a client account.
+		Public bool
 	}
 
 	// Target is a service with its weight among the targets of a route.
@@ -134,6 +152,11 @@
 	return names
 }
 
+// Accounts returns the client accounts. Callers must not change the slice.
+func (m *Matcher) Accounts() []Account {
+	return m.config.Accounts
+}
+
 // Version returns the version of the configuration.
 func (m *Matcher) Version() int64 {
 	return m.config.Version
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -193,7 +193,7 @@
 	deadline := x.arrivedAt.Add(x.remaining)
 	timeout := min(x.remaining, x.route.Timeout)
 	result := x.server.config.Gatherer.Run(x.request.Context(), gatherer.Request{
-		Route: x.route, Services: x.services, ArrivedAt: x.arrivedAt, TimeSpent: timeSpent,
+		Route: x.route, Services: x.services, ArrivedAt: x.arrivedAt, TimeSpent: timeSpent, Priority: x.route.Priority,
 		Message: exchanger.Request{
 			Method: x.request.Method, Head: x.head(len(body)), Body: body, ID: x.id, Deadline: deadline,
 		},
