Quotas of client accounts over all nodes without a coordinator

Cause: a node counted nothing, so an account could send any number of requests. Change: internal/quota/granter decides for one account, limiter holds all accounts and what other nodes have reported, reporter exchanges frame 84. Nodes take shares of one estimated level; shares follow demand; silent nodes' shares stay reserved; a node that is not in contact with most has only its part of the tolerance. 429 with the time at which a request will be granted; requests that no leaf has run are given back. Acts only if a configuration has accounts with a quota.

--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/discovery/selector"
 	"github.com/magnoliastep/magnoliastep/internal/logging/writer"
 	"github.com/magnoliastep/magnoliastep/internal/node/forwarder"
+	"github.com/magnoliastep/magnoliastep/internal/quota/limiter"
 	"github.com/magnoliastep/magnoliastep/platform"
 )
 
@@ -153,6 +154,7 @@
 	return forwarder.ReloadableSettings{
 		SeedPeers: s.SeedPeers, RetryShare: s.RetryShare, RetrySlack: s.RetrySlack, DrainTime: s.DrainTime,
 		StopTime: s.StopTime, ConfigurationTime: s.ConfigurationTime,
+		QuotaBounds: limiter.Bounds{Window: s.QuotaWindow, Over: s.QuotaOver, Slack: s.QuotaSlack},
 	}
 }
 
--- a/internal/discovery/selector/selector.go
+++ b/internal/discovery/selector/selector.go
@@ -93,14 +93,21 @@
 // CountServing returns the number of nodes that serve the callers of all zones, at least 1, and whether the node with
 // the given name is one of them.
 func (sl *Selector) CountServing(name string) (count int, included bool) {
+	serving := sl.Serving()
+	_, included = serving[name]
+	return max(1, len(serving)), included
+}
+
+// Serving returns the nodes that serve the callers of all zones, by name.
+func (sl *Selector) Serving() map[string]*pb.Member {
 	s := sl.selectNodes()
-	serving := map[string]bool{}
+	serving := map[string]*pb.Member{}
 	for _, m := range sl.config.View.Members() {
 		for _, n := range s.forZone(m.GetAvailabilityZone()) {
-			serving[n.GetName()] = true
+			serving[n.GetName()] = n
 		}
 	}
-	return max(1, len(serving)), serving[name]
+	return serving
 }
 
 // selectNodes selects the serving nodes of all zones.
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -71,6 +71,8 @@
 		Logger  *slog.Logger
 		// Random returns random numbers from 0 to 1. It is safe for concurrent use.
 		Random func() float64
+		// Quota limits the requests of client accounts; nil sets no limit.
+		Quota Quota
 		// Memory bounds the bytes of large bodies of requests that are held at once; nil sets no bound.
 		Memory *reserver.Reserver
 	}
@@ -154,6 +156,15 @@
 	x.route, x.version = route, m.Version()
 	s.progress.add(x)
 	defer s.progress.remove(x)
+	x.serve(m)
+}
+
+// serve handles a request whose route and account are known.
+func (x *exchange) serve(m *matcher.Matcher) {
+	if !x.takeQuota() {
+		return
+	}
+	defer x.returnQuota()
 	body, ok := x.readBody(m.Limits().MaxBodyBytes)
 	defer x.memory.Release()
 	if ok {
@@ -163,15 +174,19 @@
 
 // exchange is the state of one request and its answer.
 type exchange struct {
-	server    *Server
-	writer    http.ResponseWriter
-	request   *http.Request
-	id        string
-	route     *matcher.Route
-	version   int64
-	arrivedAt time.Time
-	stage     atomic.Int32
-	answer    answerState
+	server  *Server
+	writer  http.ResponseWriter
+	request *http.Request
+	id      string
+	route   *matcher.Route
+	// account is the client account of the request; nil without accounts and for public routes.
+	account *matcher.Account
+	// quotaTaken is set if the request was taken from the account's quota, mayHaveRun once a leaf may have run it.
+	quotaTaken, mayHaveRun bool
+	version                int64
+	arrivedAt              time.Time
+	stage                  atomic.Int32
+	answer                 answerState
 	// remaining is how long the caller waits for the answer after arrivedAt.
 	remaining time.Duration
 	// retryAfter is the delay that a refused caller is told; 0 for a request that is not refused.
@@ -192,6 +207,7 @@
 	}
 	deadline := x.arrivedAt.Add(x.remaining)
 	timeout := min(x.remaining, x.route.Timeout)
+	x.mayHaveRun = true
 	result := x.server.config.Gatherer.Run(x.request.Context(), gatherer.Request{
 		Route: x.route, Services: x.services, ArrivedAt: x.arrivedAt, TimeSpent: timeSpent, Priority: x.route.Priority,
 		Message: exchanger.Request{
@@ -201,6 +217,7 @@
 		Timeout: timeSpent + timeout - outboundDelay,
 	})
 	defer result.Release()
+	x.mayHaveRun = result.Outcome != gatherer.OutcomeNotRun
 	x.stage.Store(stageAnswer)
 	x.write(result)
 }
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -28,6 +28,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/invariant/isolator"
 	"github.com/magnoliastep/magnoliastep/internal/memory/reserver"
 	"github.com/magnoliastep/magnoliastep/internal/peer/messenger"
+	"github.com/magnoliastep/magnoliastep/internal/quota/limiter"
 	"github.com/magnoliastep/magnoliastep/internal/records/bootstrapper"
 	"github.com/magnoliastep/magnoliastep/internal/records/elector"
 	"github.com/magnoliastep/magnoliastep/internal/records/gossiper"
@@ -83,6 +84,8 @@
 		StopTime time.Duration
 		// ConfigurationTime is the time within which a new configuration must be in force.
 		ConfigurationTime time.Duration
+		// QuotaBounds say how exactly the quotas of client accounts must hold.
+		QuotaBounds limiter.Bounds
 	}
 
 	// Config holds what a Node needs.
@@ -145,6 +148,7 @@
 		// answerMemory and bodyMemory bound the large answers of leaves and the large bodies of requests that are held.
 		answerMemory, bodyMemory *reserver.Reserver
 		selector                 *selector.Selector
+		quotas                   *quotas
 		// callerListener accepts the connections of callers; nil until it has been opened.
 		callerListener atomic.Pointer[net.Listener]
 		mutex          sync.Mutex
@@ -179,11 +183,12 @@
 	n.assembleFleet()
 	n.assembleLeaves()
 	n.assembleRecords()
+	n.assembleQuotas()
 	n.server = server.New(server.Config{
 		Gatherer: n.gatherer, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load, ConfigCurrent: n.configurationCurrent,
 		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest,
 		OnPanic: func() { n.countPanic(workRequest) }, Logger: c.Logger, Random: rand.Float64,
-		Memory: n.bodyMemory,
+		Memory: n.bodyMemory, Quota: n.quotas,
 	})
 	n.selector = selector.New(selector.Config{
 		View: n.prober, Leaves: n.leafSummary, KeepFor: directoryTTL(c.DirectoryTime),
@@ -248,6 +253,7 @@
 func (n *Node) Reload(s ReloadableSettings) {
 	old := n.settings.Load()
 	s = n.setSettings(s, *old)
+	n.quotas.limiter.SetBounds(s.QuotaBounds, n.config.Clock.Now())
 	n.config.Logger.Info("settings reloaded", "seeds", len(s.SeedPeers), "retry_share", s.RetryShare,
 		"retry_slack", s.RetrySlack, "drain_time", s.DrainTime, "stop_time", s.StopTime,
 		"configuration_time", s.ConfigurationTime, "former_seeds", len(old.SeedPeers))
@@ -297,7 +303,10 @@
 	for _, w := range n.watchers {
 		n.startLoop(ctx, w.Run)
 	}
-	for _, run := range []func(context.Context){n.activator.Run, n.gossiper.Run, n.join, n.observeProcessorTime} {
+	for _, run := range []func(context.Context){
+		n.activator.Run, n.gossiper.Run, n.join, n.observeProcessorTime,
+		n.quotas.reporter.Run,
+	} {
 		n.startLoop(ctx, run)
 	}
 }
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -171,6 +171,7 @@
 		services[s.Name] = balancer.Service{MaxConnections: s.MaxConnections, WarmUpRate: s.WarmUpRate}
 	}
 	n.balancer.SetServices(services)
+	n.setQuotas(c)
 	m := matcher.New(c)
 	n.pruneMetrics(n.matcher.Swap(m), m)
 	n.config.Logger.Info("configuration in force", "config_version", c.Version, "revision", d.Revision,
