--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -30,12 +30,18 @@
 	sentAt := time.Time{}
 	message := n.request.Message
 	message.Priority, message.AfterExcess = n.request.Priority, afterExcess
+	if n.request.Use != nil {
+		message.Account = n.request.Use
+	}
 	message.InTimeUntil = n.sendDeadline(leaf, startedAt)
 	if droppable {
 		message.SendBy = message.InTimeUntil
 	}
 	reply, err := leaf.Exchanger().Do(n.callContext, n.sendContext, message, func() bool {
 		sentAt = time.Now()
+		if n.request.Use != nil {
+			n.request.Use.Charge(n.typicalLatency, sentAt)
+		}
 		return state.begin()
 	})
 	now := time.Now()
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -52,6 +52,14 @@
 		PausedFor(service string, now time.Time) time.Duration
 	}
 
+	// Use weighs a client account's use of the leaves.
+	Use interface {
+		// Use returns how much the account has used of its share lately, at least 0.
+		Use(now time.Time) float64
+		// Charge adds the time that a leaf works for the account.
+		Charge(work time.Duration, now time.Time)
+	}
+
 	// Config holds what a Gatherer needs.
 	Config struct {
 		Pool Pool
@@ -75,6 +83,8 @@
 		Account string
 		// Priority is the rank of the request: that of its account, or else of its route; 0 is the highest.
 		Priority int
+		// Use weighs the account's use of the leaves; nil without accounts.
+		Use Use
 		// Message is the request as it is sent to leaves. Its Deadline applies to every send.
 		Message exchanger.Request
 		// ArrivedAt is when the request arrived at this node.
--- a/internal/upstream/exchanger/acquire.go
+++ b/internal/upstream/exchanger/acquire.go
@@ -29,7 +29,9 @@
 		}
 		return c, nil
 	}
-	call := &queuer.Call[waiter]{Priority: r.Priority, InTimeUntil: r.InTimeUntil, Value: make(waiter, 1)}
+	call := &queuer.Call[waiter]{
+		Priority: r.Priority, Account: r.Account, InTimeUntil: r.InTimeUntil, Value: make(waiter, 1),
+	}
 	e.waiters.Add(call)
 	e.mutex.Unlock()
 	return e.await(ctx, call, r.SendBy)
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -123,6 +123,8 @@
 		Deadline time.Time
 		// Priority is the rank of the request among those that wait for a connection; 0 is the highest.
 		Priority int
+		// Account is the client account of the request; nil without accounts.
+		Account queuer.Account
 		// InTimeUntil is the latest time to send the request so that its answer can be in time.
 		InTimeUntil time.Time
 		// SendBy is the latest useful time to send the request; zero means the Deadline.
