--- a/internal/upstream/queuer/accounts_test.go
+++ b/internal/upstream/queuer/accounts_test.go
@@ -17,9 +17,9 @@
 	perSecond, share float64
 }
 
-// playAccounts sends calls of several accounts to a leaf with one slot, 20 ms for each call, for ten seconds. It returns
-// how many calls of each account were answered in time per second of the play. A call that has waited for a second
-// leaves.
+// playAccounts sends calls of several accounts to a leaf with one slot, 20 ms for each call, for ten seconds. It
+// returns how many calls of each account were answered in time per second of the play. A call that has waited for a
+// second leaves.
 func playAccounts(accounts []account, seed uint64, weighed bool) []float64 {
 	const (
 		step, work, target = ms, 20 * ms, 150 * ms
@@ -62,9 +62,9 @@
 	return inTime
 }
 
-// Plays a leaf that can answer 50 calls a second. Four accounts ask for 8 a second each; a fifth, owed the same, asks for
-// 60. In order of arrival alone the fifth takes most of the room and makes the others late. Weighed by use the four must
-// get nearly all that they ask for, and the fifth what is left, not nothing.
+// Plays a leaf that can answer 50 calls a second. Four accounts ask for 8 a second each; a fifth, owed the same, asks
+// for 60. In order of arrival alone the fifth takes most of the room and makes the others late. Weighed by use the four
+// must get nearly all that they ask for, and the fifth what is left, not nothing.
 func TestAccountThatSendsMostDoesNotPushOthersOut(t *testing.T) {
 	is := is.New(t)
 	accounts := []account{{8, 10}, {8, 10}, {8, 10}, {8, 10}, {60, 10}}
--- a/internal/upstream/queuer/queuer.go
+++ b/internal/upstream/queuer/queuer.go
@@ -111,8 +111,8 @@
 	return c.useLevel(now) < newer.useLevel(now)
 }
 
-// useLevel returns the level of the account's use. Uses that differ by less than a factor of two are often of one level,
-// because among them the newest call is the better choice.
+// useLevel returns the level of the account's use. Uses that differ by less than a factor of two are often of one
+// level, because among them the newest call is the better choice.
 func (c *Call[T]) useLevel(now time.Time) int {
 	if c.Account == nil {
 		return 0
