stepfront check: checks a configuration before it is sent, by line, and shows what changes against the version in force

Operators had no way to see before sending that a field is misspelled, an entry can never match or limits contradict each other; nodes pass over such values or replace them.

--- a/cmd/stepfront/main.go
+++ b/cmd/stepfront/main.go
@@ -11,6 +11,6 @@
 func main() {
 	signals := signaler.New()
 	os.Exit(frontend.New(frontend.Config{
-		Arguments: os.Args[1:], Output: os.Stdout, Errors: os.Stderr, Getenv: os.Getenv, Signals: signals,
+		Arguments: os.Args[1:], Input: os.Stdin, Output: os.Stdout, Errors: os.Stderr, Getenv: os.Getenv, Signals: signals,
 	}).Run())
 }
--- a/internal/command/frontend/frontend.go
+++ b/internal/command/frontend/frontend.go
@@ -19,8 +19,10 @@
 	// Config holds what a Frontend needs.
 	Config struct {
 		Arguments []string
-		Output    io.Writer
-		Errors    io.Writer
+		// Input is the standard input.
+		Input  io.Reader
+		Output io.Writer
+		Errors io.Writer
 		// Getenv returns the value of an environment variable.
 		Getenv func(name string) string
 		// Signals has received all signals since the start of the process.
@@ -35,7 +37,7 @@
 	// commands lists the commands; kong derives their names, flags and help texts from its fields.
 	commands struct {
 		Run   runCommand   `cmd:"" help:"Run the node until SIGTERM or SIGINT."`
-		Check checkCommand `cmd:"" help:"Check the platform's settings file and print what it says."`
+		Check checkCommand `cmd:"" help:"Check the platform's settings file, or a configuration before it is sent."`
 	}
 )
 
