ready: client accounts: callers' keys are checked at the edge and never passed on

Cause: a configuration with accounts was served as one without: leaves got the caller's key, unknown keys ran. Change: the account of a request is found by a keyed digest of its key; without a known key it is refused at once, with 401 if the configuration is known to be the newest, else 503. Leaves get the name of the account in place of what the caller sent. The priority of an account goes before that of its route. A key that is withdrawn while a request waits ends its sends. Values of accounts that are not usable are reported and replaced, and never let a stranger in. Configurations without accounts are served as before.

--- a/internal/forward/deferrer/deferrer.go
+++ b/internal/forward/deferrer/deferrer.go
@@ -26,7 +26,7 @@
 	otherNodeDelay = 10 * time.Millisecond
 	// maxShareOfTimeLeft is the largest part of its remaining time that a caller is told to wait.
 	maxShareOfTimeLeft = 1.0 / 3
-	// delayPerRank is the share by which each rank of the route prolongs the delay, up to maxRank.
+	// delayPerRank is the share by which each rank of the request prolongs the delay, up to maxRank.
 	delayPerRank = 0.25
 	maxRank      = 4
 )
@@ -40,7 +40,7 @@
 		Reason Reason
 		// TimeLeft is how long the caller still waits for an answer.
 		TimeLeft time.Duration
-		// Priority is the rank of the request's route; 0 is the highest.
+		// Priority is the rank of the request; 0 is the highest.
 		Priority int
 		// CapacityIn is after what time capacity is known to be there; 0 if that is not known.
 		CapacityIn time.Duration
--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -36,7 +36,7 @@
 	}
 	reply, err := leaf.Exchanger().Do(n.callContext, n.sendContext, message, func() bool {
 		sentAt = time.Now()
-		return state.begin()
+		return n.maySend() && state.begin()
 	})
 	now := time.Now()
 	outcome, took := n.outcome(reply, err), time.Duration(0)
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -86,6 +86,9 @@
 		Target time.Duration
 		// Timeout is when the request must be answered in any case, measured like Target.
 		Timeout time.Duration
+		// MaySend, if not nil, reports whether the request may still be sent to leaves. It is asked before each send, also
+		// by several goroutines at once. Once it has returned false it does not return true any more.
+		MaySend func() bool
 	}
 
 	// Result is how a request ended.
@@ -111,6 +114,8 @@
 		OutOfTime bool
 		// Stopping is set when the request was refused or ended early because this node stops.
 		Stopping bool
+		// Forbidden is set when the request could not be sent, or not once more, because MaySend forbade it.
+		Forbidden bool
 		// ServicesWithoutLeaf has the services without a usable leaf, those included whose leaves all ask for a pause.
 		ServicesWithoutLeaf []string
 		// RetryIn is after what time leaves may be called that ask for a pause, if a request that has not run lacked them;
@@ -126,6 +131,8 @@
 		budgets map[string]*budgeter.Budgeter
 		// typicalLatency has the moving average of the call latency of each route.
 		typicalLatency map[string]time.Duration
+		// rechecks is closed and replaced by Recheck.
+		rechecks chan struct{}
 		// stopping is closed by Stop. endAt is set before, and not changed afterwards.
 		stopping chan struct{}
 		endAt    time.Time
@@ -136,7 +143,7 @@
 func New(c Config) *Gatherer {
 	return &Gatherer{
 		config: c, budgets: map[string]*budgeter.Budgeter{}, typicalLatency: map[string]time.Duration{},
-		stopping: make(chan struct{}),
+		rechecks: make(chan struct{}), stopping: make(chan struct{}),
 	}
 }
 
@@ -160,6 +167,9 @@
 	if r.TimeSpent+time.Since(r.ArrivedAt) >= r.Timeout {
 		return Result{Outcome: OutcomeNotRun, OutOfTime: true}
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		return Result{Outcome: OutcomeNotRun, Forbidden: true}
+	}
 	noLeaf := g.servicesWithoutLeaf(r)
 	if usable := len(r.Services) - len(noLeaf); usable == 0 ||
 		float64(usable) < r.Route.MinCoverage*float64(len(r.Services)) {
--- a/internal/forward/gatherer/gatherer_test.go
+++ b/internal/forward/gatherer/gatherer_test.go
@@ -34,6 +34,8 @@
 	gatherer *gatherer.Gatherer
 	calls    map[string]*atomic.Int64
 	memory   *reserver.Reserver
+	// maySend is MaySend of the requests.
+	maySend func() bool
 }
 
 // answerAfter returns a handler that answers successfully after a delay.
@@ -127,6 +129,7 @@
 	}
 	return f.gatherer.Run(ctx, gatherer.Request{
 		Route: &r, Services: services, ArrivedAt: time.Now(), Target: target, Timeout: timeout,
+		MaySend: f.maySend,
 		Message: exchanger.Request{
 			Method: http.MethodGet, ID: "r1", Deadline: time.Now().Add(time.Second),
 			Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\nId: r1\r\n"),
--- a/internal/forward/gatherer/run.go
+++ b/internal/forward/gatherer/run.go
@@ -41,6 +41,8 @@
 		result         Result
 		// stopping is closed when this node stops; nil once that has been handled.
 		stopping <-chan struct{}
+		// recheck is closed when MaySend is to be asked again; nil without MaySend.
+		recheck <-chan struct{}
 		// sendUntil is until when the request may be sent for the first time if this node stops.
 		sendUntil time.Time
 		mutex     sync.Mutex
@@ -100,6 +102,7 @@
 		stopSending: stopSending, events: make(chan event, len(r.Services)*maxAttemptsPerShard),
 		shards: make([]shard, len(r.Services)), typicalLatency: g.typicalLatencyOf(r.Route), stopping: g.stopping,
 	}
+	n.awaitRecheck()
 	for i, s := range r.Services {
 		n.shards[i] = shard{service: s, budget: g.Budget(s)}
 	}
@@ -121,7 +124,7 @@
 	defer timer.Stop()
 	for {
 		now := time.Now()
-		if n.refuseUnsent(now) {
+		if n.refuseUnsent(now) || n.refuseForbidden() {
 			return n.conclude(decider.GiveUp, now)
 		}
 		n.sendDue(now)
@@ -136,6 +139,8 @@
 		case <-timer.C:
 		case <-n.stopping:
 			n.beginStop()
+		case <-n.recheck:
+			n.awaitRecheck()
 		case <-ctx.Done():
 			n.result.Outcome = OutcomeCallerGone
 			return n.result
--- a/internal/forward/gatherer/sending.go
+++ b/internal/forward/gatherer/sending.go
@@ -42,7 +42,8 @@
 	if s.possibleRuns+s.rejected == 0 {
 		takeToken = alwaysAllowed // no call has reached the service yet, so this is not a second send
 	}
-	if n.sendsEnded(now) || s.possibleRuns >= n.request.Route.Attempts || s.sends() >= maxSendsPerShard ||
+	if n.result.Forbidden || n.sendsEnded(now) ||
+		s.possibleRuns >= n.request.Route.Attempts || s.sends() >= maxSendsPerShard ||
 		len(s.attempts) >= maxAttemptsPerShard {
 		n.endSends(s)
 		return
--- a/internal/forward/matcher/matcher.go
+++ b/internal/forward/matcher/matcher.go
@@ -7,6 +7,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/magnoliastep/magnoliastep/internal/account/authenticator"
 )
 
 type (
@@ -18,7 +20,11 @@
 		Services []Service
 		// Accounts has the client accounts. If there are any, a request needs the key of one unless its route is Public.
 		Accounts []Account
-		Limits   Limits
+		// KeysRequired is set if the configuration names accounts, even if it has none that can be used.
+		KeysRequired bool
+		// KeySecret is what an authenticator.Config has as its Secret.
+		KeySecret []byte
+		Limits    Limits
 	}
 
 	// Account is a client account.
@@ -98,6 +104,8 @@
 		// routesByHost has the routes of each host, longest prefix first.
 		routesByHost map[string][]*Route
 		services     map[string]*Service
+		// authenticator has the keys of the accounts, under their indexes.
+		authenticator *authenticator.Authenticator
 	}
 )
 
@@ -114,6 +122,11 @@
 	for i := range c.Services {
 		m.services[c.Services[i].Name] = &c.Services[i]
 	}
+	keys := make([][]string, len(c.Accounts))
+	for i, a := range c.Accounts {
+		keys[i] = a.Keys
+	}
+	m.authenticator = authenticator.New(authenticator.Config{Secret: c.KeySecret, Keys: keys})
 	return m
 }
 
@@ -157,6 +170,32 @@
 	return m.config.Accounts
 }
 
+// KeysRequired reports whether a request needs the key of an account unless its route is Public.
+func (m *Matcher) KeysRequired() bool {
+	return m.config.KeysRequired || len(m.config.Accounts) > 0
+}
+
+// Authenticate returns the account to which the key in the values of a header field belongs, and the digest of the key.
+// The account is nil if there is none; the failure says why.
+func (m *Matcher) Authenticate(
+	scheme string, values []string,
+) (*Account, authenticator.Digest, authenticator.Failure) {
+	i, digest, failure := m.authenticator.Authenticate(scheme, values)
+	if failure != "" {
+		return nil, digest, failure
+	}
+	return &m.config.Accounts[i], digest, ""
+}
+
+// AccountOf returns the account to which the key with a digest belongs, or nil.
+func (m *Matcher) AccountOf(d authenticator.Digest) *Account {
+	i, ok := m.authenticator.Account(d)
+	if !ok {
+		return nil
+	}
+	return &m.config.Accounts[i]
+}
+
 // Version returns the version of the configuration.
 func (m *Matcher) Version() int64 {
 	return m.config.Version
--- a/internal/forward/sanitizer/sanitizer.go
+++ b/internal/forward/sanitizer/sanitizer.go
@@ -18,17 +18,20 @@
 	maxTimeout = time.Hour
 )
 
-// Sanitize replaces unusable values in the routes of a configuration and returns a description of each.
+// Sanitize replaces unusable values in the accounts and routes of a configuration and returns a description of each.
 func Sanitize(c *matcher.Config) []string {
-	var problems []string
+	problems := sanitizeAccounts(c)
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if r.Priority < 0 || r.Priority > lowestPriority {
-			problems = append(problems, fmt.Sprintf("route %s: priority %d is missing or not usable", r.Name, r.Priority))
+			problems = append(problems, fmt.Sprintf("route %s: priority %d is missing or not usable; it gets the lowest",
+				r.Name, r.Priority))
 			r.Priority = lowestPriority
 		}
 		if r.Timeout <= 0 || r.Timeout > maxTimeout {
-			problems = append(problems, fmt.Sprintf("route %s: timeout %s is missing or not usable", r.Name, r.Timeout))
+			problems = append(problems, fmt.Sprintf(
+				"route %s: timeout %s is missing or not usable; it gets %s and the lowest priority", r.Name, r.Timeout,
+				defaultTimeout))
 			r.Timeout, r.Priority = defaultTimeout, lowestPriority
 		}
 		if r.TargetLatency <= 0 || r.TargetLatency > r.Timeout {
--- a/internal/forward/server/answer.go
+++ b/internal/forward/server/answer.go
@@ -24,8 +24,12 @@
 	for _, n := range []string{names.TimeLeft, names.LeafID, "Content-Length", "Host", "Expect"} {
 		exclude[textproto.CanonicalMIMEHeaderKey(n)] = true
 	}
+	x.excludeAccount(exclude)
 	// Writing to a buffer does not fail.
 	_ = r.Header.WriteSubset(&b, exclude)
+	if name := x.identity.accountName(); name != "" {
+		b.WriteString(names.Account + ": " + name + "\r\n")
+	}
 	if bodyBytes > 0 || r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Method == http.MethodPost ||
 		r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(bodyBytes) + "\r\n")
@@ -58,6 +62,10 @@
 		}
 		x.recordSuccess(r)
 	case gatherer.OutcomeNotRun:
+		if r.Forbidden {
+			x.refuseForbidden(r)
+			return
+		}
 		x.refuse(notRunOutcome(r), notRunReason(r), r)
 	case gatherer.OutcomeTimeout:
 		x.fail(http.StatusGatewayTimeout, timeoutOutcome(r), r)
@@ -185,7 +193,7 @@
 		Reason: reason, TimeLeft: x.timeLeft() - time.Since(x.arrivedAt), CapacityIn: r.RetryIn,
 	}
 	if x.route != nil {
-		refusal.Priority = x.route.Priority
+		refusal.Priority = x.priority()
 	}
 	x.retryAfter = deferrer.RetryAfter(refusal, x.server.config.Random())
 	x.writer.Header().Set("Retry-After", strconv.FormatFloat(x.retryAfter.Seconds(), 'f', 3, 64))
@@ -218,8 +226,9 @@
 
 // log writes a log line that tells an on-call engineer why the request ended as it did.
 func (x *exchange) log(outcome string, status int, r gatherer.Result) {
-	x.server.config.Logger.Info("request", "request_id", x.id, "route", x.routeName(), "outcome", outcome,
-		"status", status, "config_version", x.version, "parts", len(r.Parts), "shards", len(x.services),
+	x.server.config.Logger.Info("request", "request_id", x.id, "route", x.routeName(),
+		"account", x.identity.accountName(), "outcome", outcome, "status", status, "config_version", x.version,
+		"parts", len(r.Parts), "shards", len(x.services),
 		"hedges", r.Hedges, "retries", r.Retries, "rejections", r.Rejections, "budget_blocked", r.BudgetBlocked,
 		"failed_leaves", strings.Join(r.FailedLeaves, ","), "waiting_for", strings.Join(r.WaitingLeaves, ","),
 		"no_leaf", strings.Join(r.ServicesWithoutLeaf, ","), "time_left", x.remaining,
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -50,6 +50,11 @@
 		PartSignatures string
 		// MissingParts has the number of shards that are missing from an answer.
 		MissingParts string
+		// Key has the key of a client account, after the scheme KeyScheme. It is never passed on if the configuration has
+		// accounts.
+		Key, KeyScheme string
+		// Account has the name of the account, for leaves only.
+		Account string
 	}
 
 	// Config holds what a Server needs.
@@ -152,6 +157,9 @@
 		return
 	}
 	x.route, x.version = route, m.Version()
+	if !x.authenticate(m) {
+		return
+	}
 	s.progress.add(x)
 	defer s.progress.remove(x)
 	body, ok := x.readBody(m.Limits().MaxBodyBytes)
@@ -178,7 +186,8 @@
 	retryAfter time.Duration
 	services   []string
 	// memory is reserved for the body of the request; nil for a small one.
-	memory *reserver.Reservation
+	memory   *reserver.Reservation
+	identity identity
 }
 
 // run has leaves run the request and writes the answer.
@@ -193,7 +202,8 @@
 	deadline := x.arrivedAt.Add(x.remaining)
 	timeout := min(x.remaining, x.route.Timeout)
 	result := x.server.config.Gatherer.Run(x.request.Context(), gatherer.Request{
-		Route: x.route, Services: x.services, ArrivedAt: x.arrivedAt, TimeSpent: timeSpent, Priority: x.route.Priority,
+		Route: x.route, Services: x.services, ArrivedAt: x.arrivedAt, TimeSpent: timeSpent,
+		Account: x.identity.accountName(), Priority: x.priority(), MaySend: x.maySend(),
 		Message: exchanger.Request{
 			Method: x.request.Method, Head: x.head(len(body)), Body: body, ID: x.id, Deadline: deadline,
 		},
--- a/internal/forward/server/server_test.go
+++ b/internal/forward/server/server_test.go
@@ -33,12 +33,18 @@
 	// configOutdated is set if a newer configuration is overdue.
 	configOutdated bool
 	draining       bool
-	log            bytes.Buffer
-	server         *server.Server
+	names          server.HeaderNames
+	// onRun, if not nil, is called with each request that the gatherer gets.
+	onRun  func(r gatherer.Request)
+	log    bytes.Buffer
+	server *server.Server
 }
 
 func (f *fixture) Run(_ context.Context, r gatherer.Request) gatherer.Result {
 	f.requests = append(f.requests, r)
+	if f.onRun != nil {
+		f.onRun(r)
+	}
 	return f.result
 }
 
@@ -55,7 +61,10 @@
 				Shards: []string{"a", "b", "c"}, TopRecords: 1,
 			},
 		},
-	})}
+	}), names: server.HeaderNames{
+		HeaderNames:    exchanger.HeaderNames{RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign"},
+		PartSignatures: "Signs", MissingParts: "Missing", Key: "Authorization", KeyScheme: "Token", Account: "Account",
+	}}
 	f.server = server.New(f.serverConfig())
 	return f
 }
@@ -65,11 +74,8 @@
 	return server.Config{
 		Gatherer: f, Matcher: func() *matcher.Matcher { return f.matcher },
 		ConfigCurrent: func() bool { return f.configCurrent }, ConfigOutdated: func() bool { return f.configOutdated },
-		HeaderNames: server.HeaderNames{
-			HeaderNames:    exchanger.HeaderNames{RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign"},
-			PartSignatures: "Signs", MissingParts: "Missing",
-		},
-		Draining: func() bool { return f.draining }, Observe: func(string, string, time.Duration, gatherer.Result) {},
+		HeaderNames: f.names,
+		Draining:    func() bool { return f.draining }, Observe: func(string, string, time.Duration, gatherer.Result) {},
 		Logger: slog.New(slog.NewTextHandler(&f.log, nil)), Random: func() float64 { return 0 },
 	}
 }
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -119,10 +119,12 @@
 
 	// Node forwards the requests of callers. All its parts run until the context of Run ends.
 	Node struct {
-		config     Config
-		settings   atomic.Pointer[ReloadableSettings]
-		startedAt  time.Time
-		matcher    atomic.Pointer[matcher.Matcher]
+		config    Config
+		settings  atomic.Pointer[ReloadableSettings]
+		startedAt time.Time
+		matcher   atomic.Pointer[matcher.Matcher]
+		// keySecret is the key of the digests of account keys, random for this process.
+		keySecret  []byte
 		stopping   atomic.Bool
 		ready      atomic.Bool
 		replicator *replicator.Replicator
@@ -167,6 +169,7 @@
 		c.Listen = listenTCP
 	}
 	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}, failures: make(chan error, 8)}
+	n.keySecret = newKeySecret()
 	n.setSettings(c.ReloadableSettings, defaultSettings())
 	n.elector = elector.New(elector.Config{
 		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -163,18 +163,20 @@
 		return
 	}
 	for _, problem := range sanitizer.Sanitize(&c) {
-		n.config.Logger.Warn("configuration has an unusable value; the route gets the lowest priority", "problem", problem,
-			"config_version", c.Version)
+		n.config.Logger.Warn("configuration has an unusable value", "problem", problem, "config_version", c.Version)
+		n.config.Metrics.GetOrCreateCounter("stepfront_config_unusable_values_total").Inc()
 	}
 	services := make(map[string]balancer.Service, len(c.Services))
 	for _, s := range c.Services {
 		services[s.Name] = balancer.Service{MaxConnections: s.MaxConnections, WarmUpRate: s.WarmUpRate}
 	}
 	n.balancer.SetServices(services)
+	c.KeySecret = n.keySecret
 	m := matcher.New(c)
 	n.pruneMetrics(n.matcher.Swap(m), m)
+	n.gatherer.Recheck()
 	n.config.Logger.Info("configuration in force", "config_version", c.Version, "revision", d.Revision,
-		"routes", len(c.Routes), "services", len(c.Services), "bytes", len(d.Data),
+		"routes", len(c.Routes), "services", len(c.Services), "accounts", len(c.Accounts), "bytes", len(d.Data),
 		"previous_confirmed_ago", n.config.Clock.Since(confirmedBefore))
 }
 
