--- a/internal/forward/sanitizer/accounts.go
+++ b/internal/forward/sanitizer/accounts.go
@@ -27,8 +27,8 @@
 
 // sanitizeAccounts replaces unusable values in the accounts and returns a description of each, which never has a key.
 // An account without a usable name is left out. Two accounts of one name are taken as one. A key that two accounts
-// claim is nobody's: to give it to one of them would let callers of the other act in its name. An unusable rate or burst
-// sets no limit, but the account gets the lowest priority, so that it has no advantage.
+// claim is nobody's: to give it to one of them would let callers of the other act in its name. An unusable rate or
+// burst sets no limit, but the account gets the lowest priority, so that it has no advantage.
 func sanitizeAccounts(c *matcher.Config) []string {
 	c.KeysRequired = c.KeysRequired || len(c.Accounts) > 0
 	s := &accountSanitizer{indexes: map[string]int{}}
