--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -39,10 +39,13 @@
 	}
 	reply, err := leaf.Exchanger().Do(n.callContext, n.sendContext, message, func() bool {
 		sentAt = time.Now()
+		if !n.maySend() || !state.begin() {
+			return false
+		}
 		if n.request.Use != nil {
 			n.request.Use.Charge(n.typicalLatency, sentAt)
 		}
-		return state.begin()
+		return true
 	})
 	now := time.Now()
 	outcome, took := n.outcome(reply, err), time.Duration(0)
