--- a/internal/forward/matcher/matcher.go
+++ b/internal/forward/matcher/matcher.go
@@ -106,6 +106,8 @@
 		services     map[string]*Service
 		// authenticator has the keys of the accounts, under their indexes.
 		authenticator *authenticator.Authenticator
+		// meanRate is the mean Rate of the accounts that have a quota; 1 if there is none.
+		meanRate float64
 	}
 )
 
@@ -123,8 +125,17 @@
 		m.services[c.Services[i].Name] = &c.Services[i]
 	}
 	keys := make([][]string, len(c.Accounts))
+	rates, limited := 0.0, 0
 	for i, a := range c.Accounts {
 		keys[i] = a.Keys
+		if a.Rate > 0 {
+			rates += a.Rate
+			limited++
+		}
+	}
+	m.meanRate = 1
+	if limited > 0 {
+		m.meanRate = rates / float64(limited)
 	}
 	m.authenticator = authenticator.New(authenticator.Config{Secret: c.KeySecret, Keys: keys})
 	return m
@@ -196,6 +207,15 @@
 	return &m.config.Accounts[i]
 }
 
+// Share returns what an account is owed of room that is short, relative to other accounts: its quota, or the mean of
+// those of the others if it has none. A nil account stands for all requests without one.
+func (m *Matcher) Share(a *Account) float64 {
+	if a == nil || !(a.Rate > 0) {
+		return m.meanRate
+	}
+	return a.Rate
+}
+
 // Version returns the version of the configuration.
 func (m *Matcher) Version() int64 {
 	return m.config.Version
--- a/internal/forward/server/account.go
+++ b/internal/forward/server/account.go
@@ -113,6 +113,14 @@
 	x.refuse("configuration_changed", deferrer.NoConfiguration, r)
 }
 
+// use returns what weighs the account's use of the leaves; nil if the configuration has no accounts.
+func (x *exchange) use() gatherer.Use {
+	if !x.identity.keysRequired || x.server.config.Use == nil {
+		return nil
+	}
+	return x.server.config.Use(x.identity.accountName(), x.server.config.Matcher().Share(x.identity.account))
+}
+
 // priority returns the rank of the request: that of its account, or else of its route.
 func (x *exchange) priority() int {
 	if a := x.identity.account; a != nil && a.HasPriority {
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -61,6 +61,9 @@
 	Config struct {
 		Gatherer    Gatherer
 		HeaderNames HeaderNames
+		// Use returns the use of the leaves by a client account, which is owed a share; nil if use is not weighed. The name
+		// is "" for all requests without an account.
+		Use func(account string, share float64) gatherer.Use
 		// Matcher returns the matcher of the configuration in force, or nil if there is none yet.
 		Matcher func() *matcher.Matcher
 		// ConfigCurrent reports whether the configuration in force is known to be the newest.
@@ -203,7 +206,7 @@
 	timeout := min(x.remaining, x.route.Timeout)
 	result := x.server.config.Gatherer.Run(x.request.Context(), gatherer.Request{
 		Route: x.route, Services: x.services, ArrivedAt: x.arrivedAt, TimeSpent: timeSpent,
-		Account: x.identity.accountName(), Priority: x.priority(), MaySend: x.maySend(),
+		Account: x.identity.accountName(), Priority: x.priority(), Use: x.use(), MaySend: x.maySend(),
 		Message: exchanger.Request{
 			Method: x.request.Method, Head: x.head(len(body)), Body: body, ID: x.id, Deadline: deadline,
 		},
--- a/internal/node/forwarder/accounts.go
+++ b/internal/node/forwarder/accounts.go
@@ -1,6 +1,11 @@
 package forwarder
 
-import "crypto/rand"
+import (
+	"crypto/rand"
+	"time"
+
+	"github.com/magnoliastep/magnoliastep/internal/forward/gatherer"
+)
 
 // keySecretBytes is the length of the key of the digests of account keys.
 const keySecretBytes = 32
@@ -11,3 +16,8 @@
 	_, _ = rand.Read(secret) // never fails
 	return secret
 }
+
+// accountUse returns the use of the leaves by a client account, which is owed a share.
+func (n *Node) accountUse(account string, share float64) gatherer.Use {
+	return n.weigher.Account(account, share, time.Now())
+}
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/quartz"
 
+	"github.com/magnoliastep/magnoliastep/internal/account/weigher"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/reaper"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/selector"
 	"github.com/magnoliastep/magnoliastep/internal/forward/activator"
@@ -124,7 +125,9 @@
 		startedAt time.Time
 		matcher   atomic.Pointer[matcher.Matcher]
 		// keySecret is the key of the digests of account keys, random for this process.
-		keySecret  []byte
+		keySecret []byte
+		// weigher weighs the use of the leaves by client accounts.
+		weigher    *weigher.Weigher
 		stopping   atomic.Bool
 		ready      atomic.Bool
 		replicator *replicator.Replicator
@@ -169,7 +172,7 @@
 		c.Listen = listenTCP
 	}
 	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}, failures: make(chan error, 8)}
-	n.keySecret = newKeySecret()
+	n.keySecret, n.weigher = newKeySecret(), weigher.New()
 	n.setSettings(c.ReloadableSettings, defaultSettings())
 	n.elector = elector.New(elector.Config{
 		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
@@ -183,7 +186,8 @@
 	n.assembleLeaves()
 	n.assembleRecords()
 	n.server = server.New(server.Config{
-		Gatherer: n.gatherer, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load, ConfigCurrent: n.configurationCurrent,
+		Gatherer: n.gatherer, Use: n.accountUse, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load,
+		ConfigCurrent:  n.configurationCurrent,
 		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest,
 		OnPanic: func() { n.countPanic(workRequest) }, Logger: c.Logger, Random: rand.Float64,
 		Memory: n.bodyMemory,
