ready: leave the zone where the loss of a late call exceeds the cost of its bytes

The fixed factor on the latency of other zones sent calls away for small differences, and a larger one kept calls at leaves that stalled. upstream/localizer weighs the chance that a call comes late, from the expected latency and the time left, and what the answer would lose, against the bytes of the call. The gatherer tells Pick the time left, the loss and the size of a call. The wait for a connection is estimated from the calls ahead instead of a constant. The scorer forgets a slow spell in about a third of its length (50 ms to 1 s) instead of with a half-life of 3 s, so that a short pause doesn't send calls away for seconds.

Tests: calls of TestPick... and of the other tests of Pick pass the new argument, their checks are unchanged.

--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"math"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -37,12 +38,16 @@
 
 // runCommand runs the node.
 type runCommand struct {
-	Settings string `help:"Path of the settings file; by default the one that the platform names." placeholder:"FILE"`
-	LogLevel string `help:"Lowest level that is logged." default:"info" enum:"debug,info,warn,error"`
+	Settings        string  `help:"Path of the settings file; default: the platform's." placeholder:"FILE"`
+	ZoneTrafficCost float64 `help:"Cost of a megabyte between zones, in values of one request." default:"3"`
+	LogLevel        string  `help:"Lowest level that is logged." default:"info" enum:"debug,info,warn,error"`
 }
 
 // Run runs the node until SIGTERM or SIGINT.
 func (v *runCommand) Run(c *Config) error {
+	if !(v.ZoneTrafficCost >= 0) || math.IsInf(v.ZoneTrafficCost, 1) {
+		return errors.Newf("--zone-traffic-cost must be a number of at least 0, not %v", v.ZoneTrafficCost)
+	}
 	data, err := os.ReadFile(settingsPath(v.Settings, c))
 	if err != nil {
 		return errors.Wrap(err, "read settings")
@@ -72,6 +77,7 @@
 		OnUnreadable: unreadableReporter(set, logger),
 	})
 	node := nodeConfig(s)
+	node.ZoneTrafficCost = v.ZoneTrafficCost
 	node.Store, node.Clock, node.Logger, node.Metrics = store, clock, logger, set
 	n := forwarder.New(node)
 	stopContext, beginStop := context.WithCancelCause(context.WithoutCancel(ctx))
--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -105,6 +105,7 @@
 		n.handleRejection(s, e)
 	case n.acceptable(e.reply):
 		s.done, s.answered = true, true
+		n.gatherer.addSizeSample(n.request.Route.Name, len(e.reply.Body))
 		n.result.Parts = append(n.result.Parts, n.reduce(e.reply))
 		n.gatherer.addLatencySample(n.request.Route, e.took)
 	default:
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -45,7 +45,7 @@
 
 	// Pool picks leaves.
 	Pool interface {
-		Pick(service string, typicalLatency time.Duration, tried func(*balancer.Leaf) bool, now time.Time) (*balancer.Leaf,
+		Pick(service string, call balancer.Call, tried func(*balancer.Leaf) bool, now time.Time) (*balancer.Leaf,
 			time.Duration)
 		Usable(service string) int
 		// PausedFor returns after what time a usable leaf of the service may be called if all have asked for a pause, else 0.
@@ -126,6 +126,8 @@
 		budgets map[string]*budgeter.Budgeter
 		// typicalLatency has the moving average of the call latency of each route.
 		typicalLatency map[string]time.Duration
+		// answerBytes has the moving average of the size of a leaf's answer to the requests of each route.
+		answerBytes map[string]float64
 		// stopping is closed by Stop. endAt is set before, and not changed afterwards.
 		stopping chan struct{}
 		endAt    time.Time
@@ -136,7 +138,7 @@
 func New(c Config) *Gatherer {
 	return &Gatherer{
 		config: c, budgets: map[string]*budgeter.Budgeter{}, typicalLatency: map[string]time.Duration{},
-		stopping: make(chan struct{}),
+		answerBytes: map[string]float64{}, stopping: make(chan struct{}),
 	}
 }
 
--- a/internal/forward/gatherer/gatherer_test.go
+++ b/internal/forward/gatherer/gatherer_test.go
@@ -20,6 +20,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/memory/reserver"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/localizer"
 )
 
 const (
@@ -71,7 +72,8 @@
 			RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign", NotRun: "Not-Run",
 			Leaving: "Leaving",
 		},
-		Random: func() float64 { return 0 }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Localizer: localizer.New(localizer.Config{TrafficCost: 3, Random: func() float64 { return 0.5 }}),
+		Random:    func() float64 { return 0 }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	for key, h := range leaves {
 		f.addLeaf(t, key, h)
--- a/internal/forward/gatherer/run.go
+++ b/internal/forward/gatherer/run.go
@@ -38,7 +38,9 @@
 		openCalls int
 		// typicalLatency is the typical call latency of the route at the start of the request.
 		typicalLatency time.Duration
-		result         Result
+		// answerBytes is the usual size of a leaf's answer to such requests.
+		answerBytes int
+		result      Result
 		// stopping is closed when this node stops; nil once that has been handled.
 		stopping <-chan struct{}
 		// sendUntil is until when the request may be sent for the first time if this node stops.
@@ -98,7 +100,8 @@
 	n := &run{
 		gatherer: g, request: r, callContext: callContext, cancelCalls: cancelCalls, sendContext: sendContext,
 		stopSending: stopSending, events: make(chan event, len(r.Services)*maxAttemptsPerShard),
-		shards: make([]shard, len(r.Services)), typicalLatency: g.typicalLatencyOf(r.Route), stopping: g.stopping,
+		shards: make([]shard, len(r.Services)), typicalLatency: g.typicalLatencyOf(r.Route),
+		answerBytes: g.answerBytesOf(r.Route.Name), stopping: g.stopping,
 	}
 	for i, s := range r.Services {
 		n.shards[i] = shard{service: s, budget: g.Budget(s)}
--- a/internal/forward/gatherer/sending.go
+++ b/internal/forward/gatherer/sending.go
@@ -79,7 +79,7 @@
 func (n *run) send(shardIndex int) bool {
 	s := &n.shards[shardIndex]
 	now := time.Now()
-	leaf, expected := n.gatherer.config.Pool.Pick(s.service, n.typicalLatency, s.hasTried, now)
+	leaf, expected := n.gatherer.config.Pool.Pick(s.service, n.callOf(now), s.hasTried, now)
 	if leaf == nil {
 		if s.openCalls == 0 {
 			n.endSends(s)
@@ -100,13 +100,7 @@
 // canDropShard reports whether the answer can still reach the minimum coverage if one more shard is dropped. If so, a
 // call whose answer can't be in time is not sent at all.
 func (n *run) canDropShard() bool {
-	lostShards := 0
-	for i := range n.shards {
-		if n.shards[i].done && !n.shards[i].answered {
-			lostShards++
-		}
-	}
-	remaining := float64(len(n.shards) - lostShards - 1)
+	remaining := float64(len(n.shards) - n.lostShards() - 1)
 	return remaining > 0 && remaining >= n.request.Route.MinCoverage*float64(len(n.shards)) &&
 		n.elapsed(time.Now()) < n.request.Target
 }
--- a/internal/node/forwarder/capacity_test.go
+++ b/internal/node/forwarder/capacity_test.go
@@ -48,7 +48,8 @@
 		started := time.Now()
 		const picks = 20000
 		for i := range picks {
-			p.Pick(fmt.Sprintf("service-%d", i%(leaves/3)), time.Millisecond, func(*balancer.Leaf) bool { return false }, now)
+			call := balancer.Call{TypicalLatency: time.Millisecond}
+			p.Pick(fmt.Sprintf("service-%d", i%(leaves/3)), call, func(*balancer.Leaf) bool { return false }, now)
 		}
 		t.Logf("leaves %d: %.2f us to pick a leaf of three", leaves, float64(time.Since(started).Nanoseconds())/picks/1000)
 		runtime.KeepAlive(r)
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -47,6 +47,8 @@
 	// serving is the number of nodes that serve callers, this one included, at least 1.
 	serving int
 	ranker  *ranker.Ranker
+	// zones has the availability zone of each node by the IP of its peer address.
+	zones map[string]string
 }
 
 // HandleFrame handles a frame from another node. A panic ends only the handling of this frame.
@@ -127,9 +129,9 @@
 	}
 	f := &fleetState{generation: generation, derivedAt: now, serving: serving}
 	if previous := n.fleet.Load(); previous != nil && previous.generation == generation {
-		f.ranker = previous.ranker
+		f.ranker, f.zones = previous.ranker, previous.zones
 	} else {
-		f.ranker = ranker.New(n.prober.Members())
+		f.ranker, f.zones = ranker.New(n.prober.Members()), zonesByIP(n.prober.Members())
 	}
 	n.fleet.Store(f)
 	n.balancer.SetLiveNodes(serving)
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -36,6 +36,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/enroller"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/localizer"
 	"github.com/magnoliastep/magnoliastep/internal/view/linker"
 	"github.com/magnoliastep/magnoliastep/internal/view/prober"
 )
@@ -98,6 +99,9 @@
 		MemoryBytes int64
 		// DirectoryTime is the maximum time for which callers may keep an answer of the directory; 0 is no bound.
 		DirectoryTime time.Duration
+		// ZoneTrafficCost is what a megabyte between availability zones costs, in units of the value of one request; at
+		// least 0.
+		ZoneTrafficCost float64
 		// FirstStart is set when all nodes start for the first time. There is time then to let only few of them read the
 		// store.
 		FirstStart bool
@@ -155,7 +159,8 @@
 		// joined is set for good once another node has been known.
 		joined atomic.Bool
 		// failures receives the errors of servers and loops without which this node can't go on.
-		failures chan error
+		failures   chan error
+		departures departureLog
 		// fleet is the cached result of currentFleet; nil before its first call.
 		fleet atomic.Pointer[fleetState]
 	}
@@ -227,6 +232,8 @@
 		Zone: c.AvailabilityZone, HeaderNames: c.HeaderNames.HeaderNames,
 		MaxAnswerBytes: maxAnswerBytesOf(c.MemoryBytes), Memory: n.answerMemory, ColdShare: n.coldShare,
 		OnConnect: connections.Inc, OnExcessBytes: c.Metrics.NewCounter("stepfront_leaf_answers_too_long_total").Inc,
+		Localizer:  localizer.New(localizer.Config{TrafficCost: c.ZoneTrafficCost, Random: rand.Float64}),
+		OnZoneLeft: n.observeDeparture, OnZoneBytes: func(bytes int) { n.countZoneBytes("leaf_call", bytes) },
 		Random: rand.Float64, Logger: c.Logger,
 	})
 	n.enroller = enroller.New(enroller.Config{
--- a/internal/node/forwarder/leaf_pool_test.go
+++ b/internal/node/forwarder/leaf_pool_test.go
@@ -36,7 +36,8 @@
 				ID: "leaf", Service: "s", Address: "10.0.0.1:1", Zone: "z1", Slots: 1, WarmUpLeft: time.Minute,
 			})
 			picked := func(at time.Time) bool {
-				l, _ := n.balancer.Pick("s", time.Millisecond, func(*balancer.Leaf) bool { return false }, at)
+				call := balancer.Call{TypicalLatency: time.Millisecond}
+				l, _ := n.balancer.Pick("s", call, func(*balancer.Leaf) bool { return false }, at)
 				return l != nil
 			}
 			now := time.Now()
--- a/internal/node/forwarder/metrics.go
+++ b/internal/node/forwarder/metrics.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -49,9 +50,12 @@
 }
 
 // observeFrame counts a frame that this node sends to another.
-func (n *Node) observeFrame(kind string, bytes int) {
+func (n *Node) observeFrame(kind string, to net.Addr, bytes int) {
 	n.config.Metrics.GetOrCreateCounter(`stepfront_peer_frames_total{kind="` + kind + `"}`).Inc()
 	n.config.Metrics.GetOrCreateCounter(`stepfront_peer_bytes_total{kind="` + kind + `"}`).Add(bytes)
+	if n.isInOtherZone(to) {
+		n.countZoneBytes(kind, bytes)
+	}
 }
 
 // observeTransfer logs and counts documents that came from another node.
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -75,8 +75,9 @@
 		IdleLinkThreshold int
 		// MaxFrameBytes is the largest frame that is read; zero means 16 MiB. A larger one ends its link.
 		MaxFrameBytes int64
-		// OnFrameSent is called for each frame that was written, with the schema's name of its body; it may be nil.
-		OnFrameSent func(kind string, bytes int)
+		// OnFrameSent is called for each frame that was written, with the schema's name of its body and the address of the
+		// other end of its connection; it may be nil.
+		OnFrameSent func(kind string, to net.Addr, bytes int)
 		// Logger may be nil.
 		Logger *slog.Logger
 	}
@@ -140,7 +141,7 @@
 }
 
 // countSent counts a frame that was written.
-func (m *Messenger) countSent(f *pb.Frame, bytes int) {
+func (m *Messenger) countSent(f *pb.Frame, to net.Addr, bytes int) {
 	m.sentBytes.Add(uint64(bytes))
 	if m.config.OnFrameSent == nil {
 		return
@@ -150,7 +151,7 @@
 	if field := message.WhichOneof(message.Descriptor().Oneofs().ByName(frameBodyOneof)); field != nil {
 		kind = string(field.Name())
 	}
-	m.config.OnFrameSent(kind, bytes)
+	m.config.OnFrameSent(kind, to, bytes)
 }
 
 // Call sends a frame and waits for its single reply.
--- a/internal/peer/messenger/writer.go
+++ b/internal/peer/messenger/writer.go
@@ -88,7 +88,7 @@
 		if err != nil {
 			return errors.Wrap(err, "write frame")
 		}
-		w.messenger.countSent(f, n)
+		w.messenger.countSent(f, w.stream.RemoteAddr(), n)
 		select {
 		case f = <-w.queue:
 		default:
--- a/internal/upstream/balancer/balancer.go
+++ b/internal/upstream/balancer/balancer.go
@@ -18,6 +18,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/memory/reserver"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/apportioner"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/localizer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/scorer"
 )
 
@@ -25,16 +26,11 @@
 	// usableConnectionShare is the share of a leaf's connections that all nodes use together. The rest is in
 	// reserve because joining nodes are counted a little late.
 	usableConnectionShare = 0.85
-	// otherZoneFactor multiplies the expected latency of a leaf in another zone, because traffic between zones is
-	// charged for.
-	otherZoneFactor = 1.5
 	// coldFactor multiplies the expected latency of a leaf that is still cold after its start.
 	coldFactor = 1.6
 	// latencyJitter is the largest random share added to an expected latency, so that nodes don't all pick the
 	// same leaf.
 	latencyJitter = 0.08
-	// connectionWaitPenalty is added to the expected latency of a leaf at which a call would wait for a connection.
-	connectionWaitPenalty = 40 * time.Millisecond
 	// lastResortPenalty is added to the expected latency of a leaf whose last answer was too long. It is more than the
 	// expected latency of any other.
 	lastResortPenalty = time.Minute
@@ -88,6 +84,12 @@
 		Memory *reserver.Reserver
 		// ColdShare returns this node's share of a cold leaf's WarmUpRate, 0 to 1.
 		ColdShare func(leafID string) float64
+		// Localizer decides which calls leave the zone. Nil sets one with the default cost of traffic.
+		Localizer *localizer.Localizer
+		// OnZoneLeft, if not nil, is called for each call that leaves the zone.
+		OnZoneLeft func(Departure)
+		// OnZoneBytes, if not nil, is called with the bytes of each exchange with a leaf of another zone.
+		OnZoneBytes func(bytes int)
 		// OnConnect is called for each attempt to connect to a leaf.
 		OnConnect func()
 		// OnExcessBytes, if not nil, is called for each answer that had more bytes than an answer may have.
@@ -127,6 +129,11 @@
 
 // New returns a Balancer without leaves.
 func New(c Config) *Balancer {
+	if c.Localizer == nil {
+		c.Localizer = localizer.New(localizer.Config{
+			TrafficCost: localizer.DefaultTrafficCost, Random: c.Random,
+		})
+	}
 	return &Balancer{
 		config: c, leaves: map[string]*Leaf{}, leavesByService: map[string]map[string]*Leaf{},
 		usable: map[string][]*Leaf{}, serviceLimits: map[string]Service{},
@@ -274,50 +281,13 @@
 	return b.usable[service]
 }
 
-// Pick returns the leaf of the service with the lowest expected latency, and that latency, or nil when no untried
-// leaf may get a call now. typicalLatency is the usual latency of such calls.
-func (b *Balancer) Pick(service string, typicalLatency time.Duration, tried func(*Leaf) bool, now time.Time) (*Leaf,
-	time.Duration,
-) {
-	b.mutex.Lock()
-	leaves, limits := b.usable[service], b.serviceLimits[service]
-	b.mutex.Unlock()
-	var best *Leaf
-	var lowest time.Duration
-	for _, l := range leaves {
-		if tried(l) || !l.available(now, limits.WarmUpRate, b.config.ColdShare) {
-			continue
-		}
-		expected := b.expectedLatency(l, typicalLatency, now)
-		if best == nil || expected < lowest {
-			best, lowest = l, expected
-		}
-	}
-	if best != nil {
-		best.spendColdToken(now, limits.WarmUpRate)
-	}
-	return best, lowest
-}
-
-func (b *Balancer) expectedLatency(l *Leaf, typicalLatency time.Duration, now time.Time) time.Duration {
-	expected := l.scorer.ExpectedLatency(now, typicalLatency, l.entry.Slots)
-	if l.entry.Zone != b.config.Zone {
-		expected = time.Duration(float64(expected) * otherZoneFactor)
-	}
-	if l.isCold(now) {
-		expected = time.Duration(float64(expected) * coldFactor)
-	}
-	if !l.exchanger.HasCapacity() {
-		expected += connectionWaitPenalty
-	}
-	if l.exchanger.LastResort(now) {
-		expected += lastResortPenalty
-	}
-	return time.Duration(float64(expected) * (1 + latencyJitter*b.config.Random()))
-}
-
 func (b *Balancer) newLeaf(e Entry) *Leaf {
+	var onBytes func(int)
+	if e.Zone != b.config.Zone {
+		onBytes = b.config.OnZoneBytes
+	}
 	x := exchanger.New(exchanger.Config{
+		OnBytes: onBytes,
 		Address: e.Address, LeafID: e.ID, HeaderNames: b.config.HeaderNames, MaxAnswerBytes: b.config.MaxAnswerBytes,
 		OnConnect: b.config.OnConnect, Memory: b.config.Memory,
 		OnLeaving: func() { b.leafLeaves(e) },
--- a/internal/upstream/balancer/balancer_test.go
+++ b/internal/upstream/balancer/balancer_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/localizer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/scorer"
 )
 
@@ -17,10 +18,23 @@
 func newBalancer(coldShare float64) *balancer.Balancer {
 	return balancer.New(balancer.Config{
 		Zone: "z1", MaxAnswerBytes: 1, ColdShare: func(string) float64 { return coldShare },
-		Random: func() float64 { return 0 }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Localizer: localizer.New(localizer.Config{TrafficCost: 3, Random: func() float64 { return 0.5 }}),
+		Random:    func() float64 { return 0 }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 }
 
+// call is a call of a request whose target is a few times the typical latency.
+func call() balancer.Call {
+	return balancer.Call{
+		TypicalLatency: typicalLatency,
+		Call: localizer.Call{
+			InTime:    localizer.Stake{Left: 5 * typicalLatency, Loss: 0.9},
+			InAnyCase: localizer.Stake{Left: 50 * typicalLatency, Loss: 0.1},
+			Bytes:     1 << 10,
+		},
+	}
+}
+
 func entry(id, zone string) balancer.Entry {
 	return balancer.Entry{ID: id, Service: "s", Address: "127.0.0.1:1", Zone: zone, Slots: 4}
 }
@@ -28,7 +42,7 @@
 func noneTried(*balancer.Leaf) bool { return false }
 
 func pick(b *balancer.Balancer, now time.Time) string {
-	l, _ := b.Pick("s", typicalLatency, noneTried, now)
+	l, _ := b.Pick("s", call(), noneTried, now)
 	if l == nil {
 		return ""
 	}
@@ -56,7 +70,7 @@
 		usableLeaf(b, "near").Scorer().End(now, now.Add(3*typicalLatency), 3*typicalLatency, typicalLatency, scorer.Success)
 	}
 	is.Equal(pick(b, now), "far")
-	l, _ := b.Pick("s", typicalLatency, func(l *balancer.Leaf) bool { return l.Entry().ID == "far" }, now)
+	l, _ := b.Pick("s", call(), func(l *balancer.Leaf) bool { return l.Entry().ID == "far" }, now)
 	is.Equal(l.Entry().ID, "near") // the other leaf is excluded as tried
 }
 
--- a/internal/upstream/balancer/leaving_test.go
+++ b/internal/upstream/balancer/leaving_test.go
@@ -74,7 +74,7 @@
 			e := entry("a", "z1")
 			e.Address, e.Incarnation = startLeavingLeaf(t), 7
 			b.Put(e, now)
-			l, _ := b.Pick("s", typicalLatency, noneTried, now)
+			l, _ := b.Pick("s", call(), noneTried, now)
 			_, err := l.Exchanger().Do(t.Context(), t.Context(), exchanger.Request{
 				Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n"), Deadline: time.Now().Add(time.Minute),
 			}, func() bool { return true })
--- a/internal/upstream/exchanger/concurrency.go
+++ b/internal/upstream/exchanger/concurrency.go
@@ -32,3 +32,12 @@
 		e.decreasedAt = now
 	}
 }
+
+// Queue returns how many requests must end before a further one is sent, 0 if none, and how many may be in flight, at
+// least 1.
+func (e *Exchanger) Queue() (ahead, inFlight int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	inFlight = e.maxInFlight()
+	return max(0, e.busy+e.waiters.Len()+1-inFlight), inFlight
+}
--- a/internal/upstream/exchanger/exchange.go
+++ b/internal/upstream/exchanger/exchange.go
@@ -38,6 +38,8 @@
 	if err := c.SetDeadline(r.Deadline); err != nil {
 		return nil, false, err
 	}
+	readBefore := c.limiter.Total()
+	defer func() { e.countBytes(r, c.limiter.Total()-readBefore) }()
 	// A leaf may answer and close before it has read the whole body, so an answer is read even after a failed
 	// write.
 	writeError := e.writeRequest(c, r)
@@ -59,6 +61,13 @@
 	return reply, reusable && writeError == nil && c.reader.Buffered() == 0, nil
 }
 
+// countBytes reports the bytes of a request that was sent and the number of bytes that have been read since.
+func (e *Exchanger) countBytes(r Request, read int64) {
+	if e.config.OnBytes != nil {
+		e.config.OnBytes(len(r.Head) + len(r.Body) + addedFieldsBytes + int(read))
+	}
+}
+
 // writeRequest writes the request. A large body is not copied, because the calls of all shards share it.
 func (e *Exchanger) writeRequest(c *connection, r Request) error {
 	if len(r.Body) <= smallBodyBytes {
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -101,6 +101,8 @@
 		Memory *reserver.Reserver
 		// OnConnect, if not nil, is called before each attempt to connect.
 		OnConnect func()
+		// OnBytes, if not nil, is called at the end of each exchange with about the number of bytes sent and received.
+		OnBytes func(bytes int)
 		// OnLeaving, if not nil, is called once, when the leaf has said that it is leaving.
 		OnLeaving func()
 		// OnPause, if not nil, is called with the time for which the leaf has asked to get no requests.
--- a/internal/upstream/readlimiter/readlimiter.go
+++ b/internal/upstream/readlimiter/readlimiter.go
@@ -25,6 +25,8 @@
 		left int64
 		// exceeded is set when a read has failed since the last call of Allow.
 		exceeded bool
+		// total is the number of bytes that have been read.
+		total int64
 	}
 )
 
@@ -41,6 +43,9 @@
 // Exceeded reports whether more was to be read than the last call of Allow has allowed.
 func (l *Limiter) Exceeded() bool { return l.exceeded }
 
+// Total returns how many bytes have been read.
+func (l *Limiter) Total() int64 { return l.total }
+
 // Read reads at most as many bytes as are left. It returns ErrLimit if none are.
 func (l *Limiter) Read(p []byte) (int, error) {
 	if l.left == 0 && len(p) > 0 {
@@ -49,5 +54,6 @@
 	}
 	n, err := l.source.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
+	l.total += int64(n)
 	return n, err
 }
--- a/internal/upstream/scorer/scorer.go
+++ b/internal/upstream/scorer/scorer.go
@@ -13,8 +13,15 @@
 const (
 	// smoothingFactor is the weight of a new observation in the moving averages.
 	smoothingFactor = 0.3
-	// decayHalfLife is the time in which the deviation from a typical leaf halves.
+	// decayHalfLife is the time in which the share of failures halves, and how far the leaf is faster than a typical one.
 	decayHalfLife = 3 * time.Second
+	// minSlowHalfLife and maxSlowHalfLife bound the time in which halves how far the leaf is slower than a typical one.
+	// Between them it is a share of the time for which the leaf has been slow.
+	minSlowHalfLife   = 50 * time.Millisecond
+	maxSlowHalfLife   = time.Second
+	slowHalfLifeShare = 1.0 / 3
+	// slowRatio is the ratio to the typical latency from which an observation is slow.
+	slowRatio = 2
 	// failurePenalty is added to the expected latency, multiplied by about the odds of a failure.
 	failurePenalty = 300 * time.Millisecond
 	// maxSlowdown bounds the slowdown that a single observation can report.
@@ -53,6 +60,9 @@
 		failureShare float64
 		// updatedAt is when slowdown and failureShare were last decayed.
 		updatedAt time.Time
+		// slowSince and slowUntil are the start of the first and the end of the last slow call since the leaf was last about
+		// as fast as a typical one.
+		slowSince, slowUntil time.Time
 		// openSince has the start time of each open call, oldest first.
 		openSince []time.Time
 	}
@@ -83,6 +93,7 @@
 		}
 	}
 	s.decay(now)
+	wasSlow := s.slowdown >= slowRatio
 	ratio := min(maxSlowdown, float64(took)/float64(max(typicalLatency, time.Millisecond)))
 	switch o {
 	case Success:
@@ -96,6 +107,12 @@
 			s.slowdown += smoothingFactor * (ratio - s.slowdown)
 		}
 	}
+	if ratio >= slowRatio && (o == Success || o == Abandoned) {
+		if !wasSlow {
+			s.slowSince = startedAt
+		}
+		s.slowUntil = now
+	}
 }
 
 // OpenCalls returns the number of open calls.
@@ -105,6 +122,16 @@
 	return len(s.openSince)
 }
 
+// OldestOpenCall returns for how long the oldest open call has been open; 0 without one.
+func (s *Scorer) OldestOpenCall(now time.Time) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.openSince) == 0 {
+		return 0
+	}
+	return now.Sub(s.openSince[0])
+}
+
 // ExpectedLatency returns the expected latency of one more call, including the wait behind open calls. typicalLatency
 // is the usual latency of such calls and slots the number of calls that the leaf runs at once.
 func (s *Scorer) ExpectedLatency(now time.Time, typicalLatency time.Duration, slots int) time.Duration {
@@ -143,9 +170,19 @@
 // decay moves the estimate towards that of a typical leaf.
 func (s *Scorer) decay(now time.Time) {
 	if !s.updatedAt.IsZero() && now.After(s.updatedAt) {
-		remaining := math.Exp2(-float64(now.Sub(s.updatedAt)) / float64(decayHalfLife))
-		s.slowdown = 1 + (s.slowdown-1)*remaining
-		s.failureShare *= remaining
+		elapsed := float64(now.Sub(s.updatedAt))
+		s.slowdown = 1 + (s.slowdown-1)*math.Exp2(-elapsed/float64(s.slowdownHalfLife()))
+		s.failureShare *= math.Exp2(-elapsed / float64(decayHalfLife))
 	}
 	s.updatedAt = now
 }
+
+// slowdownHalfLife returns the time in which the deviation of the slowdown from 1 halves. A leaf is expected to stay
+// slow for about as long as it has been slow, so that a short pause is forgotten soon.
+func (s *Scorer) slowdownHalfLife() time.Duration {
+	if s.slowdown <= 1 {
+		return decayHalfLife
+	}
+	slowFor := float64(s.slowUntil.Sub(s.slowSince))
+	return min(max(time.Duration(slowHalfLifeShare*slowFor), minSlowHalfLife), maxSlowHalfLife)
+}
