--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -30,13 +30,22 @@
 	sentAt := time.Time{}
 	message := n.request.Message
 	message.Priority, message.AfterExcess = n.request.Priority, afterExcess
+	if n.request.Use != nil {
+		message.Account = n.request.Use
+	}
 	message.InTimeUntil = n.sendDeadline(leaf, startedAt)
 	if droppable {
 		message.SendBy = message.InTimeUntil
 	}
 	reply, err := leaf.Exchanger().Do(n.callContext, n.sendContext, message, func() bool {
 		sentAt = time.Now()
-		return state.begin()
+		if !n.maySend() || !state.begin() {
+			return false
+		}
+		if n.request.Use != nil {
+			n.request.Use.Charge(n.typicalLatency, sentAt)
+		}
+		return true
 	})
 	now := time.Now()
 	outcome, took := n.outcome(reply, err), time.Duration(0)
@@ -105,6 +114,7 @@
 		n.handleRejection(s, e)
 	case n.acceptable(e.reply):
 		s.done, s.answered = true, true
+		n.gatherer.addSizeSample(n.request.Route.Name, len(e.reply.Body))
 		n.result.Parts = append(n.result.Parts, n.reduce(e.reply))
 		n.gatherer.addLatencySample(n.request.Route, e.took)
 	default:
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -45,13 +45,21 @@
 
 	// Pool picks leaves.
 	Pool interface {
-		Pick(service string, typicalLatency time.Duration, tried func(*balancer.Leaf) bool, now time.Time) (*balancer.Leaf,
+		Pick(service string, call balancer.Call, tried func(*balancer.Leaf) bool, now time.Time) (*balancer.Leaf,
 			time.Duration)
 		Usable(service string) int
 		// PausedFor returns after what time a usable leaf of the service may be called if all have asked for a pause, else 0.
 		PausedFor(service string, now time.Time) time.Duration
 	}
 
+	// Use weighs a client account's use of the leaves.
+	Use interface {
+		// Use returns how much the account has used of its share lately, at least 0.
+		Use(now time.Time) float64
+		// Charge adds the time that a leaf works for the account.
+		Charge(work time.Duration, now time.Time)
+	}
+
 	// Config holds what a Gatherer needs.
 	Config struct {
 		Pool Pool
@@ -75,6 +83,8 @@
 		Account string
 		// Priority is the rank of the request: that of its account, or else of its route; 0 is the highest.
 		Priority int
+		// Use weighs the account's use of the leaves; nil without accounts.
+		Use Use
 		// Message is the request as it is sent to leaves. Its Deadline applies to every send.
 		Message exchanger.Request
 		// ArrivedAt is when the request arrived at this node.
@@ -86,6 +96,9 @@
 		Target time.Duration
 		// Timeout is when the request must be answered in any case, measured like Target.
 		Timeout time.Duration
+		// MaySend, if not nil, reports whether the request may still be sent to leaves. It is asked before each send, also
+		// by several goroutines at once. Once it has returned false it does not return true any more.
+		MaySend func() bool
 	}
 
 	// Result is how a request ended.
@@ -111,6 +124,8 @@
 		OutOfTime bool
 		// Stopping is set when the request was refused or ended early because this node stops.
 		Stopping bool
+		// Forbidden is set when the request could not be sent, or not once more, because MaySend forbade it.
+		Forbidden bool
 		// ServicesWithoutLeaf has the services without a usable leaf, those included whose leaves all ask for a pause.
 		ServicesWithoutLeaf []string
 		// RetryIn is after what time leaves may be called that ask for a pause, if a request that has not run lacked them;
@@ -126,6 +141,10 @@
 		budgets map[string]*budgeter.Budgeter
 		// typicalLatency has the moving average of the call latency of each route.
 		typicalLatency map[string]time.Duration
+		// rechecks is closed and replaced by Recheck.
+		rechecks chan struct{}
+		// answerBytes has the moving average of the size of a leaf's answer to the requests of each route.
+		answerBytes map[string]float64
 		// stopping is closed by Stop. endAt is set before, and not changed afterwards.
 		stopping chan struct{}
 		endAt    time.Time
@@ -136,7 +155,7 @@
 func New(c Config) *Gatherer {
 	return &Gatherer{
 		config: c, budgets: map[string]*budgeter.Budgeter{}, typicalLatency: map[string]time.Duration{},
-		stopping: make(chan struct{}),
+		answerBytes: map[string]float64{}, rechecks: make(chan struct{}), stopping: make(chan struct{}),
 	}
 }
 
@@ -160,6 +179,9 @@
 	if r.TimeSpent+time.Since(r.ArrivedAt) >= r.Timeout {
 		return Result{Outcome: OutcomeNotRun, OutOfTime: true}
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		return Result{Outcome: OutcomeNotRun, Forbidden: true}
+	}
 	noLeaf := g.servicesWithoutLeaf(r)
 	if usable := len(r.Services) - len(noLeaf); usable == 0 ||
 		float64(usable) < r.Route.MinCoverage*float64(len(r.Services)) {
--- a/internal/forward/gatherer/gatherer_test.go
+++ b/internal/forward/gatherer/gatherer_test.go
@@ -20,6 +20,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/memory/reserver"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/localizer"
 )
 
 const (
@@ -34,6 +35,8 @@
 	gatherer *gatherer.Gatherer
 	calls    map[string]*atomic.Int64
 	memory   *reserver.Reserver
+	// maySend is MaySend of the requests.
+	maySend func() bool
 }
 
 // answerAfter returns a handler that answers successfully after a delay.
@@ -71,7 +74,8 @@
 			RequestID: "Id", TimeLeft: "Left", LeafID: "Leaf", Signature: "Sign", NotRun: "Not-Run",
 			Leaving: "Leaving",
 		},
-		Random: func() float64 { return 0 }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Localizer: localizer.New(localizer.Config{TrafficCost: 3, Random: func() float64 { return 0.5 }}),
+		Random:    func() float64 { return 0 }, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	for key, h := range leaves {
 		f.addLeaf(t, key, h)
@@ -127,6 +131,7 @@
 	}
 	return f.gatherer.Run(ctx, gatherer.Request{
 		Route: &r, Services: services, ArrivedAt: time.Now(), Target: target, Timeout: timeout,
+		MaySend: f.maySend,
 		Message: exchanger.Request{
 			Method: http.MethodGet, ID: "r1", Deadline: time.Now().Add(time.Second),
 			Head: []byte("GET /x HTTP/1.1\r\nHost: h\r\nId: r1\r\n"),
--- a/internal/forward/gatherer/run.go
+++ b/internal/forward/gatherer/run.go
@@ -38,9 +38,13 @@
 		openCalls int
 		// typicalLatency is the typical call latency of the route at the start of the request.
 		typicalLatency time.Duration
-		result         Result
+		// answerBytes is the usual size of a leaf's answer to such requests.
+		answerBytes int
+		result      Result
 		// stopping is closed when this node stops; nil once that has been handled.
 		stopping <-chan struct{}
+		// recheck is closed when MaySend is to be asked again; nil without MaySend.
+		recheck <-chan struct{}
 		// sendUntil is until when the request may be sent for the first time if this node stops.
 		sendUntil time.Time
 		mutex     sync.Mutex
@@ -98,8 +102,10 @@
 	n := &run{
 		gatherer: g, request: r, callContext: callContext, cancelCalls: cancelCalls, sendContext: sendContext,
 		stopSending: stopSending, events: make(chan event, len(r.Services)*maxAttemptsPerShard),
-		shards: make([]shard, len(r.Services)), typicalLatency: g.typicalLatencyOf(r.Route), stopping: g.stopping,
+		shards: make([]shard, len(r.Services)), typicalLatency: g.typicalLatencyOf(r.Route),
+		answerBytes: g.answerBytesOf(r.Route.Name), stopping: g.stopping,
 	}
+	n.awaitRecheck()
 	for i, s := range r.Services {
 		n.shards[i] = shard{service: s, budget: g.Budget(s)}
 	}
@@ -121,7 +127,7 @@
 	defer timer.Stop()
 	for {
 		now := time.Now()
-		if n.refuseUnsent(now) {
+		if n.refuseUnsent(now) || n.refuseForbidden() {
 			return n.conclude(decider.GiveUp, now)
 		}
 		n.sendDue(now)
@@ -136,6 +142,8 @@
 		case <-timer.C:
 		case <-n.stopping:
 			n.beginStop()
+		case <-n.recheck:
+			n.awaitRecheck()
 		case <-ctx.Done():
 			n.result.Outcome = OutcomeCallerGone
 			return n.result
--- a/internal/forward/gatherer/sending.go
+++ b/internal/forward/gatherer/sending.go
@@ -42,7 +42,8 @@
 	if s.possibleRuns+s.rejected == 0 {
 		takeToken = alwaysAllowed // no call has reached the service yet, so this is not a second send
 	}
-	if n.sendsEnded(now) || s.possibleRuns >= n.request.Route.Attempts || s.sends() >= maxSendsPerShard ||
+	if n.result.Forbidden || n.sendsEnded(now) ||
+		s.possibleRuns >= n.request.Route.Attempts || s.sends() >= maxSendsPerShard ||
 		len(s.attempts) >= maxAttemptsPerShard {
 		n.endSends(s)
 		return
@@ -79,7 +80,7 @@
 func (n *run) send(shardIndex int) bool {
 	s := &n.shards[shardIndex]
 	now := time.Now()
-	leaf, expected := n.gatherer.config.Pool.Pick(s.service, n.typicalLatency, s.hasTried, now)
+	leaf, expected := n.gatherer.config.Pool.Pick(s.service, n.callOf(now), s.hasTried, now)
 	if leaf == nil {
 		if s.openCalls == 0 {
 			n.endSends(s)
@@ -100,13 +101,7 @@
 // canDropShard reports whether the answer can still reach the minimum coverage if one more shard is dropped. If so, a
 // call whose answer can't be in time is not sent at all.
 func (n *run) canDropShard() bool {
-	lostShards := 0
-	for i := range n.shards {
-		if n.shards[i].done && !n.shards[i].answered {
-			lostShards++
-		}
-	}
-	remaining := float64(len(n.shards) - lostShards - 1)
+	remaining := float64(len(n.shards) - n.lostShards() - 1)
 	return remaining > 0 && remaining >= n.request.Route.MinCoverage*float64(len(n.shards)) &&
 		n.elapsed(time.Now()) < n.request.Target
 }
--- a/internal/forward/server/quota.go
+++ b/internal/forward/server/quota.go
@@ -22,10 +22,10 @@
 
 // takeQuota takes the request from its account's quota. If that is used up, it answers the caller and returns false.
 func (x *exchange) takeQuota() bool {
-	if x.server.config.Quota == nil || x.account == nil {
+	if x.server.config.Quota == nil || x.identity.account == nil {
 		return true
 	}
-	granted, retryIn := x.server.config.Quota.Take(x.account.Name)
+	granted, retryIn := x.server.config.Quota.Take(x.identity.account.Name)
 	if granted {
 		x.quotaTaken = true
 		return true
@@ -39,6 +39,6 @@
 // returnQuota gives the request back to its account's quota unless a leaf may have run it.
 func (x *exchange) returnQuota() {
 	if x.quotaTaken && !x.mayHaveRun {
-		x.server.config.Quota.Return(x.account.Name)
+		x.server.config.Quota.Return(x.identity.account.Name)
 	}
 }
--- a/internal/forward/server/quota_test.go
+++ b/internal/forward/server/quota_test.go
@@ -59,7 +59,7 @@
 	w := httptest.NewRecorder()
 	x := &exchange{
 		server: s, writer: w, request: httptest.NewRequest("POST", "/r/", strings.NewReader(body)), id: "r1",
-		arrivedAt: time.Now(), account: account,
+		arrivedAt: time.Now(), identity: identity{account: account},
 		route: &matcher.Route{
 			Name: "r", Timeout: time.Second, TargetLatency: time.Second, Targets: []matcher.Target{{Service: "s", Weight: 1}},
 		},
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -50,12 +50,20 @@
 		PartSignatures string
 		// MissingParts has the number of shards that are missing from an answer.
 		MissingParts string
+		// Key has the key of a client account, after the scheme KeyScheme. It is never passed on if the configuration has
+		// accounts.
+		Key, KeyScheme string
+		// Account has the name of the account, for leaves only.
+		Account string
 	}
 
 	// Config holds what a Server needs.
 	Config struct {
 		Gatherer    Gatherer
 		HeaderNames HeaderNames
+		// Use returns the use of the leaves by a client account, which is owed a share; nil if use is not weighed. The name
+		// is "" for all requests without an account.
+		Use func(account string, share float64) gatherer.Use
 		// Matcher returns the matcher of the configuration in force, or nil if there is none yet.
 		Matcher func() *matcher.Matcher
 		// ConfigCurrent reports whether the configuration in force is known to be the newest.
@@ -154,6 +162,9 @@
 		return
 	}
 	x.route, x.version = route, m.Version()
+	if !x.authenticate(m) {
+		return
+	}
 	s.progress.add(x)
 	defer s.progress.remove(x)
 	x.serve(m)
@@ -179,8 +190,6 @@
 	request *http.Request
 	id      string
 	route   *matcher.Route
-	// account is the client account of the request; nil without accounts and for public routes.
-	account *matcher.Account
 	// quotaTaken is set if the request was taken from the account's quota, mayHaveRun once a leaf may have run it.
 	quotaTaken, mayHaveRun bool
 	version                int64
@@ -193,7 +202,8 @@
 	retryAfter time.Duration
 	services   []string
 	// memory is reserved for the body of the request; nil for a small one.
-	memory *reserver.Reservation
+	memory   *reserver.Reservation
+	identity identity
 }
 
 // run has leaves run the request and writes the answer.
@@ -209,7 +219,8 @@
 	timeout := min(x.remaining, x.route.Timeout)
 	x.mayHaveRun = true
 	result := x.server.config.Gatherer.Run(x.request.Context(), gatherer.Request{
-		Route: x.route, Services: x.services, ArrivedAt: x.arrivedAt, TimeSpent: timeSpent, Priority: x.route.Priority,
+		Route: x.route, Services: x.services, ArrivedAt: x.arrivedAt, TimeSpent: timeSpent,
+		Account: x.identity.accountName(), Priority: x.priority(), Use: x.use(), MaySend: x.maySend(),
 		Message: exchanger.Request{
 			Method: x.request.Method, Head: x.head(len(body)), Body: body, ID: x.id, Deadline: deadline,
 		},
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/quartz"
 
+	"github.com/magnoliastep/magnoliastep/internal/account/weigher"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/reaper"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/selector"
 	"github.com/magnoliastep/magnoliastep/internal/forward/activator"
@@ -37,6 +38,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/enroller"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/localizer"
 	"github.com/magnoliastep/magnoliastep/internal/view/linker"
 	"github.com/magnoliastep/magnoliastep/internal/view/prober"
 )
@@ -101,6 +103,9 @@
 		MemoryBytes int64
 		// DirectoryTime is the maximum time for which callers may keep an answer of the directory; 0 is no bound.
 		DirectoryTime time.Duration
+		// ZoneTrafficCost is what a megabyte between availability zones costs, in units of the value of one request; at
+		// least 0.
+		ZoneTrafficCost float64
 		// FirstStart is set when all nodes start for the first time. There is time then to let only few of them read the
 		// store.
 		FirstStart bool
@@ -122,10 +127,14 @@
 
 	// Node forwards the requests of callers. All its parts run until the context of Run ends.
 	Node struct {
-		config     Config
-		settings   atomic.Pointer[ReloadableSettings]
-		startedAt  time.Time
-		matcher    atomic.Pointer[matcher.Matcher]
+		config    Config
+		settings  atomic.Pointer[ReloadableSettings]
+		startedAt time.Time
+		matcher   atomic.Pointer[matcher.Matcher]
+		// keySecret is the key of the digests of account keys, random for this process.
+		keySecret []byte
+		// weigher weighs the use of the leaves by client accounts.
+		weigher    *weigher.Weigher
 		stopping   atomic.Bool
 		ready      atomic.Bool
 		replicator *replicator.Replicator
@@ -159,7 +168,8 @@
 		// joined is set for good once another node has been known.
 		joined atomic.Bool
 		// failures receives the errors of servers and loops without which this node can't go on.
-		failures chan error
+		failures   chan error
+		departures departureLog
 		// fleet is the cached result of currentFleet; nil before its first call.
 		fleet atomic.Pointer[fleetState]
 	}
@@ -171,6 +181,7 @@
 		c.Listen = listenTCP
 	}
 	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}, failures: make(chan error, 8)}
+	n.keySecret, n.weigher = newKeySecret(), weigher.New()
 	n.setSettings(c.ReloadableSettings, defaultSettings())
 	n.elector = elector.New(elector.Config{
 		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
@@ -185,7 +196,8 @@
 	n.assembleRecords()
 	n.assembleQuotas()
 	n.server = server.New(server.Config{
-		Gatherer: n.gatherer, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load, ConfigCurrent: n.configurationCurrent,
+		Gatherer: n.gatherer, Use: n.accountUse, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load,
+		ConfigCurrent:  n.configurationCurrent,
 		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest,
 		OnPanic: func() { n.countPanic(workRequest) }, Logger: c.Logger, Random: rand.Float64,
 		Memory: n.bodyMemory, Quota: n.quotas,
@@ -232,6 +244,8 @@
 		Zone: c.AvailabilityZone, HeaderNames: c.HeaderNames.HeaderNames,
 		MaxAnswerBytes: maxAnswerBytesOf(c.MemoryBytes), Memory: n.answerMemory, ColdShare: n.coldShare,
 		OnConnect: connections.Inc, OnExcessBytes: c.Metrics.NewCounter("stepfront_leaf_answers_too_long_total").Inc,
+		Localizer:  localizer.New(localizer.Config{TrafficCost: c.ZoneTrafficCost, Random: rand.Float64}),
+		OnZoneLeft: n.observeDeparture, OnZoneBytes: func(bytes int) { n.countZoneBytes("leaf_call", bytes) },
 		Random: rand.Float64, Logger: c.Logger,
 	})
 	n.enroller = enroller.New(enroller.Config{
--- a/internal/quota/limiter/deployment_test.go
+++ b/internal/quota/limiter/deployment_test.go
@@ -71,8 +71,9 @@
 				is.True(float64(c.most(all[i+1].Name)) <= allowed(all[i+1]))
 			}
 			is.True(float64(c.most(all[0].Name)) <= allowed(all[0]))
-			t.Logf("refused at first: hot account %d of %d, others %d of %d; %.0f bytes/s in %.0f reports/s", refused[0], owed[0],
-				refusedOthers, owedOthers, float64(c.bytes)/length.Seconds(), float64(c.messages)/length.Seconds())
+			t.Logf("refused at first: hot account %d of %d, others %d of %d; %.0f bytes/s in %.0f reports/s", refused[0],
+				owed[0], refusedOthers, owedOthers, float64(c.bytes)/length.Seconds(),
+				float64(c.messages)/length.Seconds())
 			is.True(float64(refusedOthers) <= unused*float64(owedOthers))
 		})
 	}
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -101,6 +101,8 @@
 		Memory *reserver.Reserver
 		// OnConnect, if not nil, is called before each attempt to connect.
 		OnConnect func()
+		// OnBytes, if not nil, is called at the end of each exchange with about the number of bytes sent and received.
+		OnBytes func(bytes int)
 		// OnLeaving, if not nil, is called once, when the leaf has said that it is leaving.
 		OnLeaving func()
 		// OnPause, if not nil, is called with the time for which the leaf has asked to get no requests.
@@ -123,6 +125,8 @@
 		Deadline time.Time
 		// Priority is the rank of the request among those that wait for a connection; 0 is the highest.
 		Priority int
+		// Account is the client account of the request; nil without accounts.
+		Account queuer.Account
 		// InTimeUntil is the latest time to send the request so that its answer can be in time.
 		InTimeUntil time.Time
 		// SendBy is the latest useful time to send the request; zero means the Deadline.
