--- a/internal/forward/server/account_test.go
+++ b/internal/forward/server/account_test.go
@@ -259,3 +259,31 @@
 		})
 	}
 }
+
+// emptyQuota has nothing left for any account.
+type emptyQuota struct{}
+
+func (emptyQuota) Take(string) (bool, time.Duration) { return false, 2 * time.Second }
+func (emptyQuota) Return(string)                     {}
+
+// Guards against quotas that act before the key is known, or on callers without an account.
+func TestQuotaIsThatOfAccountOfKey(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		fields     []string
+		status     int
+	}{
+		{"known key", "/one/x", []string{"Authorization", "Token " + secretKey}, 429},
+		{"unknown key", "/one/x", []string{"Authorization", "Token unknown"}, 401},
+		{"public route without a key", "/public/x", nil, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newAccountsFixture()
+			config := f.serverConfig()
+			config.Quota = emptyQuota{}
+			f.server = server.New(config)
+			is.Equal(f.do("GET", c.path, "", c.fields...).StatusCode, c.status)
+		})
+	}
+}
--- a/internal/quota/granter/granter_test.go
+++ b/internal/quota/granter/granter_test.go
@@ -140,3 +140,24 @@
 	g.Spend(s, 0)
 	is.True(g.Level() < level+5) // less than the rate
 }
+
+// Guards against refusals of seldom requests at the many nodes whose share is less than a request, and against more of
+// them than the others know of.
+func TestNodeWithSmallShareHasSpareRequestWhileLevelIsHigh(t *testing.T) {
+	is := is.New(t)
+	c := quota()
+	c.Slack = 20
+	g := granter.New(c, time.Unix(1000, 0))
+	s := granter.Situation{
+		Now: time.Unix(1060, 0), Nodes: 60, Permitted: true, Spare: true, OthersDemand: 10000,
+	}
+	is.Equal(take(g, s, 100), 1)
+	g.Report(s, 1)
+	is.Equal(take(g, s, 100), 0)
+	s.Confirmed = 1
+	is.Equal(take(g, s, 100), 1)
+	g.Spend(s, 15)
+	g.Report(s, 2)
+	s.Confirmed = 2
+	is.Equal(take(g, s, 100), 0)
+}
