--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -69,7 +69,7 @@
 		answer := n.gossiper.HandlePull(body.DocumentPull)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_Documents{Documents: answer}})
 	case *pb.Frame_QuotaReport:
-		n.quotas.reporter.Receive(f.GetFrom(), body.QuotaReport)
+		n.quotas.reporter.Receive(ctx, f.GetFrom(), body.QuotaReport)
 	default:
 		n.config.Logger.Warn("frame type is not known", "from", f.GetFrom())
 	}
--- a/internal/node/forwarder/quotas.go
+++ b/internal/node/forwarder/quotas.go
@@ -20,7 +20,6 @@
 		count    func(result string)
 		// view is derived from the generation of the fleet's view at viewAt. Only the reporter's loop uses it.
 		view       limiter.View
-		addresses  map[string]string
 		viewAt     time.Time
 		generation uint64
 	}
@@ -79,26 +78,24 @@
 	}
 }
 
-// quotaView returns what this node knows of the fleet, and the peer addresses of the other nodes that serve callers.
-func (n *Node) quotaView() (limiter.View, map[string]string) {
+// quotaView returns what this node knows of the fleet.
+func (n *Node) quotaView() limiter.View {
 	q, now, generation := n.quotas, n.config.Clock.Now(), n.prober.Generation()
 	if generation == q.generation && now.Sub(q.viewAt) < maxFleetAge {
-		return q.view, q.addresses
+		return q.view
 	}
 	serving := n.selector.Serving()
 	v := limiter.View{
 		Known: !n.viewIsUnknown(now), Serving: serving[n.config.NodeName] != nil,
 		Alive: len(n.prober.Members()), Lost: len(n.prober.Lost()),
 	}
-	addresses := make(map[string]string, len(serving))
-	for name, m := range serving {
+	for name := range serving {
 		if name != n.config.NodeName {
 			v.Peers = append(v.Peers, name)
-			addresses[name] = m.GetPeerAddress()
 		}
 	}
-	q.view, q.addresses, q.viewAt, q.generation = v, addresses, now, generation
-	return v, addresses
+	q.view, q.viewAt, q.generation = v, now, generation
+	return v
 }
 
 // logQuotaChange logs that an account begins or ceases to be refused requests at this node, and why.
--- a/internal/quota/limiter/cluster_test.go
+++ b/internal/quota/limiter/cluster_test.go
@@ -159,30 +159,43 @@
 		}
 		n.limiter.SetView(c.view(i), c.now)
 		for _, r := range n.limiter.Reports(c.now) {
-			c.send(i, r)
+			c.send(i, index(r.To), r.Message)
 		}
 	}
+	var confirmations []message
 	kept := c.queue[:0]
 	for _, m := range c.queue {
 		switch {
 		case m.at.After(c.now):
 			kept = append(kept, m)
 		case c.runs(m.to):
-			c.nodes[m.to].limiter.Receive(c.nodes[m.from].name, m.report, c.now)
+			l := c.nodes[m.to].limiter
+			l.Receive(c.nodes[m.from].name, m.report, c.now)
+			for _, r := range l.Confirmations() {
+				confirmations = append(confirmations, message{from: m.to, report: r.Message, to: index(r.To)})
+			}
 		}
 	}
 	c.queue = kept
+	for _, m := range confirmations {
+		c.send(m.from, m.to, m.report)
+	}
+}
+
+// index returns the index of a node by its name.
+func index(name string) int {
+	i, _ := strconv.Atoi(name[1:])
+	return i
 }
 
-func (c *cluster) send(from int, r limiter.Report) {
-	to, _ := strconv.Atoi(r.To[1:])
+func (c *cluster) send(from, to int, report *pb.QuotaReport) {
 	c.messages++
-	c.bytes += size(r.Message)
+	c.bytes += size(report)
 	if !c.cut[from][to].IsZero() || c.random.Float64() < c.loss {
 		return
 	}
 	at := c.now.Add(time.Duration(c.random.Float64() * float64(c.delay)))
-	c.queue = append(c.queue, message{from: from, to: to, at: at, report: r.Message})
+	c.queue = append(c.queue, message{from: from, to: to, at: at, report: report})
 }
 
 // most returns the largest number of grants of an account in a window.
--- a/internal/quota/limiter/reports.go
+++ b/internal/quota/limiter/reports.go
@@ -7,6 +7,9 @@
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 )
 
+// nodesPerPeriod is the number of peers from which reports are sent less often.
+const nodesPerPeriod = 12
+
 // Reports returns the reports that are due. It is to be called every ReportPeriod.
 func (l *Limiter) Reports(now time.Time) []Report {
 	l.mutex.Lock()
@@ -53,6 +56,18 @@
 	return l.address(message, recipients)
 }
 
+// Confirmations returns the reports for nodes that wait for a confirmation of theirs. It is to be called after Receive.
+// With many nodes they wait for the next call of Reports, which serves several of them at once.
+func (l *Limiter) Confirmations() []Report {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.sequence == 0 || len(l.accounts) == 0 || len(l.peers) >= nodesPerPeriod || !l.participates() {
+		return nil
+	}
+	message := &pb.QuotaReport{Process: l.config.Process, Sequence: l.sequence}
+	return l.address(message, l.recipients(false))
+}
+
 // participates tells whether this node serves callers or has served some just now. Other nodes send no reports.
 func (l *Limiter) participates() bool {
 	return l.view.Serving || len(l.active) > 0
@@ -71,7 +86,6 @@
 
 // reportPeriod is the shortest time between two reports to all peers. With many of them it is longer.
 func (l *Limiter) reportPeriod() time.Duration {
-	const nodesPerPeriod = 12
 	return ReportPeriod * time.Duration(1+len(l.peers)/nodesPerPeriod)
 }
 
--- a/internal/quota/reporter/reporter.go
+++ b/internal/quota/reporter/reporter.go
@@ -32,9 +32,9 @@
 	Config struct {
 		Limiter   *limiter.Limiter
 		Messenger Messenger
-		// View returns what is known of the fleet, and the peer address of each of its Peers.
-		View func() (limiter.View, map[string]string)
-		// Address returns the peer address of a node that is not among the Peers of the view, or "" if it is not known.
+		// View returns what is known of the fleet.
+		View func() limiter.View
+		// Address returns the peer address of a node, or "" if it is not known.
 		Address func(name string) string
 		Clock   quartz.Clock
 		// OnDrop is called for each report that was not sent; nil means no call.
@@ -74,14 +74,13 @@
 	if !r.config.Limiter.Active() {
 		return
 	}
-	view, addresses := r.config.View()
-	r.config.Limiter.SetView(view, r.config.Clock.Now())
-	for _, report := range r.config.Limiter.Reports(r.config.Clock.Now()) {
-		address := addresses[report.To]
-		if address == "" {
-			address = r.config.Address(report.To)
-		}
-		r.start(ctx, address, report.Message)
+	r.config.Limiter.SetView(r.config.View(), r.config.Clock.Now())
+	r.startAll(ctx, r.config.Limiter.Reports(r.config.Clock.Now()))
+}
+
+func (r *Reporter) startAll(ctx context.Context, reports []limiter.Report) {
+	for _, report := range reports {
+		r.start(ctx, r.config.Address(report.To), report.Message)
 	}
 }
 
@@ -112,7 +111,8 @@
 	}
 }
 
-// Receive takes in a report of another node.
-func (r *Reporter) Receive(from string, report *pb.QuotaReport) {
+// Receive takes in a report of another node, and confirms it if the other node waits for that.
+func (r *Reporter) Receive(ctx context.Context, from string, report *pb.QuotaReport) {
 	r.config.Limiter.Receive(from, report, r.config.Clock.Now())
+	r.startAll(context.WithoutCancel(ctx), r.config.Limiter.Confirmations())
 }
--- a/internal/quota/reporter/reporter_test.go
+++ b/internal/quota/reporter/reporter_test.go
@@ -29,15 +29,15 @@
 	name    string
 }
 
-func (l link) Send(_ context.Context, address string, _ messenger.Plane, f *pb.Frame) error {
+func (l link) Send(ctx context.Context, address string, _ messenger.Plane, f *pb.Frame) error {
 	l.network.mutex.Lock()
-	defer l.network.mutex.Unlock()
 	l.network.sent++
 	r := l.network.receivers[address]
+	l.network.mutex.Unlock()
 	if r == nil {
 		return errors.New("not connected")
 	}
-	r.Receive(l.name, f.GetQuotaReport())
+	r.Receive(ctx, l.name, f.GetQuotaReport())
 	return nil
 }
 
@@ -56,9 +56,9 @@
 		addresses[o] = o + ":1"
 	}
 	r := reporter.New(reporter.Config{
-		Limiter: l, Messenger: link{n, name}, Clock: clock, Address: func(string) string { return "" },
-		View: func() (limiter.View, map[string]string) {
-			return limiter.View{Known: true, Serving: true, Peers: others, Alive: 1 + len(others)}, addresses
+		Limiter: l, Messenger: link{n, name}, Clock: clock, Address: func(name string) string { return addresses[name] },
+		View: func() limiter.View {
+			return limiter.View{Known: true, Serving: true, Peers: others, Alive: 1 + len(others)}
 		},
 	})
 	n.receivers[name+":1"] = r
