Quotas: with many nodes, requests beyond the share as far as the level covers them

Cause: after a loss of power 27 to 46 nodes served (trial with logs); with a full level most refusals came from nodes whose share is less than a request and that ranked behind the tolerance.

--- a/internal/quota/granter/granter.go
+++ b/internal/quota/granter/granter.go
@@ -76,9 +76,10 @@
 		// Extra is the number of requests that this node may grant beyond its share within a window, and ExtraNodes the
 		// number of nodes with at least one.
 		Extra, ExtraNodes int
-		// Spare is set if this node has no Extra, but may grant one request beyond its share within a window as long as the
-		// level is high.
-		Spare bool
+		// Rank is the number of nodes that come before this one for a request beyond the share while the level is high.
+		Rank int
+		// LargeShare is the sum of the shares of other nodes whose share of the level is a request or more.
+		LargeShare float64
 	}
 
 	// Granter holds one node's estimate for one account. It is not safe for concurrent use.
@@ -129,11 +130,6 @@
 	return debtTolerance * c.Tolerance()
 }
 
-// SpareOfAll returns how many requests all nodes together may grant beyond their shares while the level is high.
-func (c Config) SpareOfAll() float64 {
-	return spareTolerance * c.Tolerance()
-}
-
 func (c Config) depth() float64 {
 	return max(c.Burst, 1) + depthTolerance*c.Tolerance()
 }
@@ -255,6 +251,15 @@
 	return g.shareOf(s, g.agreed)
 }
 
+// LargeShareOf returns the share of a node that has reported the given demand if its share of the level is a request or
+// more, else 0.
+func (g *Granter) LargeShareOf(s Situation, demand float64) float64 {
+	if share := g.shareOf(s, demand); share*g.level >= 1 {
+		return share
+	}
+	return 0
+}
+
 // refill adds what the rate has granted since the last call, without the share of silent nodes.
 func (g *Granter) refill(s Situation) {
 	elapsed := s.Now.Sub(g.updatedAt).Seconds()
@@ -337,9 +342,11 @@
 	return true
 }
 
-// spare returns 1 if this node may grant a request beyond its share because little of the quota is in use.
+// spare returns 1 if this node may grant a request beyond its share because little of the quota is in use. If all nodes
+// that may do so do at once, they exceed the level by the tolerance at most: only the shares of the large nodes are taken
+// besides.
 func (g *Granter) spare(s Situation) int {
-	if s.Spare && g.highLevel(s) {
+	if g.highLevel(s) && float64(s.Rank+1) <= spareTolerance*g.config.Tolerance()+g.level*(1-s.LargeShare) {
 		return 1
 	}
 	return 0
--- a/internal/quota/granter/granter_test.go
+++ b/internal/quota/granter/granter_test.go
@@ -149,7 +149,7 @@
 	c.Slack = 20
 	g := granter.New(c, time.Unix(1000, 0))
 	s := granter.Situation{
-		Now: time.Unix(1060, 0), Nodes: 60, Permitted: true, Spare: true, OthersDemand: 10000,
+		Now: time.Unix(1060, 0), Nodes: 60, Permitted: true, OthersDemand: 10000,
 	}
 	is.Equal(take(g, s, 100), 1)
 	g.Report(s, 1)
--- a/internal/quota/limiter/cluster_test.go
+++ b/internal/quota/limiter/cluster_test.go
@@ -171,7 +171,7 @@
 		case c.runs(m.to):
 			l := c.nodes[m.to].limiter
 			l.Receive(c.nodes[m.from].name, m.report, c.now)
-			for _, r := range l.Confirmations() {
+			for _, r := range l.Confirmations(c.now) {
 				confirmations = append(confirmations, message{from: m.to, report: r.Message, to: index(r.To)})
 			}
 		}
--- a/internal/quota/limiter/limiter.go
+++ b/internal/quota/limiter/limiter.go
@@ -211,6 +211,7 @@
 	}
 	l.activate(a)
 	s := l.situation(a, now)
+	s.LargeShare = l.largeShare(a, s)
 	granted, retryIn = a.granter.Take(s)
 	if granted {
 		a.grants++
@@ -291,12 +292,24 @@
 func (l *Limiter) situation(a *account, now time.Time) granter.Situation {
 	s := granter.Situation{
 		Now: now, Nodes: l.contact.nodes, Silent: l.contact.silent, Permitted: l.contact.permittedAt(now),
-		Extra: a.extra, ExtraNodes: l.extraNodes(a), Spare: a.spare,
+		Extra: a.extra, ExtraNodes: l.extraNodes(a), Rank: a.rank,
 		OthersDemand: a.othersDemand, SilentDemand: a.silentDemand, Confirmed: l.contact.confirmed,
 	}
 	return s
 }
 
+// largeShare returns what Situation has as LargeShare. It matters only to nodes without Extra.
+func (l *Limiter) largeShare(a *account, s granter.Situation) float64 {
+	sum := 0.0
+	if a.extra > 0 {
+		return sum
+	}
+	for _, p := range l.peers {
+		sum += a.granter.LargeShareOf(s, float64(a.entry(p.slot).demand))
+	}
+	return min(1, sum)
+}
+
 // extraNodes returns how many nodes may grant requests of an account beyond their share.
 func (l *Limiter) extraNodes(a *account) int {
 	return int(min(a.extraOfAll, float64(l.contact.nodes)))
@@ -305,23 +318,20 @@
 // updateExtra updates how many requests this node may grant an account beyond its share within a window. If the
 // tolerance does not suffice for one at each node, some nodes have one at any time and others while the level is high.
 func (l *Limiter) updateExtra(a *account) {
-	config := l.granterConfig(a.quota)
-	a.extraOfAll, a.spare = config.ExtraOfAll(), false
+	a.extraOfAll, a.rank = l.granterConfig(a.quota).ExtraOfAll(), 0
 	a.extra = int(min(a.extraOfAll/float64(l.contact.nodes), math.MaxInt32))
 	if a.extra > 0 {
 		return
 	}
 	own := rankOf(a.hash, l.config.NodeName)
-	ahead := 0
 	for name := range l.peers {
 		if rankOf(a.hash, name) < own {
-			ahead++
+			a.rank++
 		}
 	}
-	if ahead+1 <= int(a.extraOfAll) {
+	if a.rank < int(a.extraOfAll) {
 		a.extra = 1
 	}
-	a.spare = a.extra == 0 && ahead+1 <= int(config.SpareOfAll())
 }
 
 func (l *Limiter) reportChange(a *account, s granter.Situation) {
--- a/internal/quota/limiter/peers.go
+++ b/internal/quota/limiter/peers.go
@@ -17,8 +17,8 @@
 		granter *granter.Granter
 		// extra is the number of requests that this node may grant beyond its share within a window.
 		extra int
-		// spare is set if extra is 0, but one is possible while the level is high.
-		spare bool
+		// rank is the number of other nodes that come first for grants beyond the share.
+		rank int
 		// extraOfAll is the number of requests that all nodes may grant beyond their shares within a window.
 		extraOfAll float64
 		// othersDemand is the sum of the demands that peers have reported, silentDemand that of silent peers.
@@ -47,8 +47,9 @@
 		// when it was sent.
 		confirmed   uint64
 		confirmedAt time.Time
-		// waits is set if the peer waits for a report.
-		waits bool
+		// waits is set if the peer waits for a report; the last one was made at reportedAt.
+		waits      bool
+		reportedAt time.Time
 		// silent is set if its reports are overdue. resumedAfter is the number of its last report before it was silent.
 		silent       bool
 		resumedAfter uint64
--- a/internal/quota/limiter/reports.go
+++ b/internal/quota/limiter/reports.go
@@ -7,7 +7,7 @@
 	pb "github.com/magnoliastep/magnoliastep/internal/gen/magnoliastep/v1"
 )
 
-// nodesPerPeriod is the number of peers from which reports are sent less often.
+// nodesPerPeriod is the number of peers from which reports are sent half as often.
 const nodesPerPeriod = 12
 
 // Reports returns the reports that are due. It is to be called every ReportPeriod.
@@ -53,19 +53,22 @@
 	if heartbeat {
 		l.addRefresh(message)
 	}
-	return l.address(message, recipients)
+	return l.address(message, recipients, now)
 }
 
 // Confirmations returns the reports for nodes that wait for a confirmation of theirs. It is to be called after Receive.
-// With many nodes they wait for the next call of Reports, which serves several of them at once.
-func (l *Limiter) Confirmations() []Report {
+// With many nodes those that have had a report just now wait for the next call of Reports.
+func (l *Limiter) Confirmations(now time.Time) []Report {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.sequence == 0 || len(l.accounts) == 0 || len(l.peers) >= nodesPerPeriod || !l.participates() {
+	if l.sequence == 0 || len(l.accounts) == 0 || !l.participates() {
 		return nil
 	}
-	message := &pb.QuotaReport{Process: l.config.Process, Sequence: l.sequence}
-	return l.address(message, l.recipients(false))
+	many := len(l.peers) >= nodesPerPeriod
+	recipients := slices.DeleteFunc(l.recipients(false), func(p *peer) bool {
+		return many && now.Sub(p.reportedAt) < l.reportPeriod()
+	})
+	return l.address(&pb.QuotaReport{Process: l.config.Process, Sequence: l.sequence}, recipients, now)
 }
 
 // participates tells whether this node serves callers or has served some just now. Other nodes send no reports.
@@ -148,10 +151,10 @@
 
 // address returns the message for each recipient, with what this node has heard from it. Peers that may lack earlier
 // reports get all active accounts.
-func (l *Limiter) address(message *pb.QuotaReport, recipients []*peer) []Report {
+func (l *Limiter) address(message *pb.QuotaReport, recipients []*peer, now time.Time) []Report {
 	reports := make([]Report, 0, len(recipients))
 	for _, p := range recipients {
-		p.waits = false
+		p.waits, p.reportedAt = false, now
 		m := &pb.QuotaReport{
 			Process: message.GetProcess(), Sequence: message.GetSequence(),
 			HeardProcess: p.process, HeardSequence: p.sequence, Accounts: message.GetAccounts(),
--- a/internal/quota/reporter/reporter.go
+++ b/internal/quota/reporter/reporter.go
@@ -114,5 +114,5 @@
 // Receive takes in a report of another node, and confirms it if the other node waits for that.
 func (r *Reporter) Receive(ctx context.Context, from string, report *pb.QuotaReport) {
 	r.config.Limiter.Receive(from, report, r.config.Clock.Now())
-	r.startAll(context.WithoutCancel(ctx), r.config.Limiter.Confirmations())
+	r.startAll(context.WithoutCancel(ctx), r.config.Limiter.Confirmations(r.config.Clock.Now()))
 }
