--- a/internal/forward/server/answer.go
+++ b/internal/forward/server/answer.go
@@ -213,7 +213,11 @@
 
 // observe reports the outcome to the metrics.
 func (x *exchange) observe(outcome string, r gatherer.Result) {
-	x.server.config.Observe(x.routeName(), outcome, time.Since(x.arrivedAt), r)
+	took := time.Since(x.arrivedAt)
+	x.server.config.Observe(x.routeName(), outcome, took, r)
+	if name := x.identity.accountName(); name != "" && x.server.config.ObserveAccount != nil {
+		x.server.config.ObserveAccount(name, outcome, took)
+	}
 }
 
 // routeName returns the name of the route, or "" if none has been selected.
--- a/internal/forward/server/server.go
+++ b/internal/forward/server/server.go
@@ -71,6 +71,8 @@
 		Draining func() bool
 		// Observe is called at the end of each request with its outcome, duration and result.
 		Observe func(route, outcome string, took time.Duration, r gatherer.Result)
+		// ObserveAccount, if not nil, is called at the end of each request that has a client account.
+		ObserveAccount func(account, outcome string, took time.Duration)
 		// OnPanic, if not nil, is called when the handling of a request has panicked.
 		OnPanic func()
 		Logger  *slog.Logger
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/quartz"
 
+	"github.com/magnoliastep/magnoliastep/internal/account/labeler"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/reaper"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/selector"
 	"github.com/magnoliastep/magnoliastep/internal/forward/activator"
@@ -124,18 +125,20 @@
 		startedAt time.Time
 		matcher   atomic.Pointer[matcher.Matcher]
 		// keySecret is the key of the digests of account keys, random for this process.
-		keySecret  []byte
-		stopping   atomic.Bool
-		ready      atomic.Bool
-		replicator *replicator.Replicator
-		watchers   []*watcher.Watcher
-		patcher    *patcher.Patcher
-		elector    *elector.Elector
-		activator  *activator.Activator
-		reaper     *reaper.Reaper
-		tracer     *tracer.Tracer
-		isolator   *isolator.Isolator
-		gossiper   *gossiper.Gossiper
+		keySecret []byte
+		// accountLabels names the accounts in metrics.
+		accountLabels *labeler.Labeler
+		stopping      atomic.Bool
+		ready         atomic.Bool
+		replicator    *replicator.Replicator
+		watchers      []*watcher.Watcher
+		patcher       *patcher.Patcher
+		elector       *elector.Elector
+		activator     *activator.Activator
+		reaper        *reaper.Reaper
+		tracer        *tracer.Tracer
+		isolator      *isolator.Isolator
+		gossiper      *gossiper.Gossiper
 		// bootstrapper brings this node its first documents.
 		bootstrapper *bootstrapper.Bootstrapper
 		messenger    *messenger.Messenger
@@ -169,7 +172,7 @@
 		c.Listen = listenTCP
 	}
 	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}, failures: make(chan error, 8)}
-	n.keySecret = newKeySecret()
+	n.assembleAccounts()
 	n.setSettings(c.ReloadableSettings, defaultSettings())
 	n.elector = elector.New(elector.Config{
 		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
@@ -185,7 +188,8 @@
 	n.server = server.New(server.Config{
 		Gatherer: n.gatherer, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load, ConfigCurrent: n.configurationCurrent,
 		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest,
-		OnPanic: func() { n.countPanic(workRequest) }, Logger: c.Logger, Random: rand.Float64,
+		ObserveAccount: n.observeAccount,
+		OnPanic:        func() { n.countPanic(workRequest) }, Logger: c.Logger, Random: rand.Float64,
 		Memory: n.bodyMemory,
 	})
 	n.selector = selector.New(selector.Config{
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -164,7 +164,7 @@
 	}
 	for _, problem := range sanitizer.Sanitize(&c) {
 		n.config.Logger.Warn("configuration has an unusable value", "problem", problem, "config_version", c.Version)
-		n.config.Metrics.GetOrCreateCounter("stepfront_config_unusable_values_total").Inc()
+		n.config.Metrics.GetOrCreateCounter(unusableValuesName).Inc()
 	}
 	services := make(map[string]balancer.Service, len(c.Services))
 	for _, s := range c.Services {
@@ -175,6 +175,7 @@
 	m := matcher.New(c)
 	n.pruneMetrics(n.matcher.Swap(m), m)
 	n.gatherer.Recheck()
+	n.pruneAccounts(m)
 	n.config.Logger.Info("configuration in force", "config_version", c.Version, "revision", d.Revision,
 		"routes", len(c.Routes), "services", len(c.Services), "accounts", len(c.Accounts), "bytes", len(d.Data),
 		"previous_confirmed_ago", n.config.Clock.Since(confirmedBefore))
