--- a/internal/forward/sanitizer/sanitizer.go
+++ b/internal/forward/sanitizer/sanitizer.go
@@ -1,5 +1,6 @@
-// Package sanitizer replaces values of a configuration that no route can be served by. A wrong value must neither take
-// the configuration out of force nor give its route an advantage, so such a route gets the lowest priority.
+// Package sanitizer replaces values of a configuration that no route or account can be served by. A wrong value must
+// neither take the configuration out of force nor give its route or account an advantage, so that gets the lowest
+// priority, nor let a stranger in.
 package sanitizer
 
 import (
