--- a/internal/account/authenticator/authenticator.go
+++ b/internal/account/authenticator/authenticator.go
@@ -8,6 +8,7 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
+	"hash"
 	"strings"
 )
 
@@ -51,10 +52,12 @@
 
 // New returns an Authenticator.
 func New(c Config) *Authenticator {
-	a := &Authenticator{secret: c.Secret, accounts: map[Digest]int{}}
+	a := &Authenticator{secret: c.Secret, accounts: make(map[Digest]int, len(c.Keys))}
+	h := a.newHash()
 	for account, keys := range c.Keys {
 		for _, k := range keys {
-			a.accounts[a.digest(k)] = account
+			h.Reset()
+			a.accounts[digest(h, k)] = account
 		}
 	}
 	return a
@@ -87,7 +90,7 @@
 	if !strings.EqualFold(stated, scheme) || !Usable(key) {
 		return 0, Digest{}, MalformedKey
 	}
-	d = a.digest(key)
+	d = digest(a.newHash(), key)
 	account, ok := a.accounts[d]
 	if !ok {
 		return 0, Digest{}, UnknownKey
@@ -101,8 +104,12 @@
 	return account, ok
 }
 
-func (a *Authenticator) digest(key string) Digest {
-	h := hmac.New(sha256.New, a.secret)
+func (a *Authenticator) newHash() hash.Hash {
+	return hmac.New(sha256.New, a.secret)
+}
+
+// digest returns the digest of a key. The hash is new or reset.
+func digest(h hash.Hash, key string) Digest {
 	_, _ = h.Write([]byte(key)) // never fails
 	return Digest(h.Sum(nil))
 }
--- a/internal/forward/matcher/matcher_test.go
+++ b/internal/forward/matcher/matcher_test.go
@@ -1,6 +1,7 @@
 package matcher_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -40,3 +41,14 @@
 	is.Equal(m.Service("s").MaxConnections, 4)
 	is.True(m.Service("t") == nil)
 }
+
+// Guards against a change of a configuration with very many accounts that keeps a small node busy. Run with -benchmem.
+func BenchmarkNewWithManyAccounts(b *testing.B) {
+	accounts := make([]matcher.Account, 10_000)
+	for i := range accounts {
+		accounts[i] = matcher.Account{Name: fmt.Sprint("account-", i), Keys: []string{fmt.Sprintf("key-%020d", i)}}
+	}
+	for b.Loop() {
+		matcher.New(matcher.Config{Accounts: accounts, KeySecret: []byte("secret")})
+	}
+}
