--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/quartz"
 
+	"github.com/magnoliastep/magnoliastep/internal/account/labeler"
 	"github.com/magnoliastep/magnoliastep/internal/account/weigher"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/reaper"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/selector"
@@ -134,18 +135,20 @@
 		// keySecret is the key of the digests of account keys, random for this process.
 		keySecret []byte
 		// weigher weighs the use of the leaves by client accounts.
-		weigher    *weigher.Weigher
-		stopping   atomic.Bool
-		ready      atomic.Bool
-		replicator *replicator.Replicator
-		watchers   []*watcher.Watcher
-		patcher    *patcher.Patcher
-		elector    *elector.Elector
-		activator  *activator.Activator
-		reaper     *reaper.Reaper
-		tracer     *tracer.Tracer
-		isolator   *isolator.Isolator
-		gossiper   *gossiper.Gossiper
+		weigher *weigher.Weigher
+		// accountLabels names the accounts in metrics.
+		accountLabels *labeler.Labeler
+		stopping      atomic.Bool
+		ready         atomic.Bool
+		replicator    *replicator.Replicator
+		watchers      []*watcher.Watcher
+		patcher       *patcher.Patcher
+		elector       *elector.Elector
+		activator     *activator.Activator
+		reaper        *reaper.Reaper
+		tracer        *tracer.Tracer
+		isolator      *isolator.Isolator
+		gossiper      *gossiper.Gossiper
 		// bootstrapper brings this node its first documents.
 		bootstrapper *bootstrapper.Bootstrapper
 		messenger    *messenger.Messenger
@@ -181,7 +184,7 @@
 		c.Listen = listenTCP
 	}
 	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}, failures: make(chan error, 8)}
-	n.keySecret, n.weigher = newKeySecret(), weigher.New()
+	n.assembleAccounts()
 	n.setSettings(c.ReloadableSettings, defaultSettings())
 	n.elector = elector.New(elector.Config{
 		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
@@ -199,7 +202,8 @@
 		Gatherer: n.gatherer, Use: n.accountUse, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load,
 		ConfigCurrent:  n.configurationCurrent,
 		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest,
-		OnPanic: func() { n.countPanic(workRequest) }, Logger: c.Logger, Random: rand.Float64,
+		ObserveAccount: n.observeAccount,
+		OnPanic:        func() { n.countPanic(workRequest) }, Logger: c.Logger, Random: rand.Float64,
 		Memory: n.bodyMemory, Quota: n.quotas,
 	})
 	n.selector = selector.New(selector.Config{
