Keep calls and documents in the zone: failures and slow spells forgotten by their length, leaves' room for their own zone

Equal parts of a leaf's room leave some over, which goes to the nodes of its zone. The scorer halves the share of failures in the time for which the leaf has been failing.

--- a/internal/discovery/selector/selector.go
+++ b/internal/discovery/selector/selector.go
@@ -103,6 +103,11 @@
 	return max(1, len(serving)), serving[name]
 }
 
+// CountServingInZone returns the number of nodes of a zone that serve callers.
+func (sl *Selector) CountServingInZone(zone string) int {
+	return len(sl.selectNodes().byZone[zone])
+}
+
 // selectNodes selects the serving nodes of all zones.
 func (sl *Selector) selectNodes() selection {
 	large, small := splitBySize(aliveMembers(sl.config.View.Members()))
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -87,16 +87,19 @@
 		func(a string) bool { return a == n.config.PeerAddress })
 }
 
-// linkedPeers returns the peer addresses of the nodes to which this one keeps links, in random order.
+// linkedPeers returns the peer addresses of the nodes to which this one sends documents, in random order.
 func (n *Node) linkedPeers() []string {
 	addresses := map[string]string{}
-	var names []string
+	var nodes []linker.Node
 	for _, m := range n.prober.Members() {
 		addresses[m.GetName()] = m.GetPeerAddress()
-		names = append(names, m.GetName())
+		if m.GetName() != n.config.NodeName {
+			nodes = append(nodes, linker.Node{Name: m.GetName(), Zone: m.GetAvailabilityZone()})
+		}
 	}
 	var linked []string
-	for _, name := range linker.ChoosePeers(names, n.config.NodeName) {
+	self := linker.Node{Name: n.config.NodeName, Zone: n.config.AvailabilityZone}
+	for _, name := range linker.ChoosePeersByZone(nodes, self) {
 		linked = append(linked, addresses[name])
 	}
 	return shuffle(linked)
@@ -118,14 +121,16 @@
 		return f
 	}
 	serving, included := n.selector.CountServing(n.config.NodeName)
+	inZone := n.selector.CountServingInZone(n.config.AvailabilityZone)
 	if !included {
 		serving++ // callers with an older answer of the directory still connect to this node
+		inZone++
 	}
 	if n.prober.Joined() {
 		n.joined.Store(true)
 	}
 	if now.Sub(n.startedAt) < unknownViewPeriod {
-		serving = max(serving, assumedServingNodes)
+		serving, inZone = max(serving, assumedServingNodes), 0
 	}
 	f := &fleetState{generation: generation, derivedAt: now, serving: serving}
 	if previous := n.fleet.Load(); previous != nil && previous.generation == generation {
@@ -134,7 +139,7 @@
 		f.ranker, f.zones = ranker.New(n.prober.Members()), zonesByIP(n.prober.Members())
 	}
 	n.fleet.Store(f)
-	n.balancer.SetLiveNodes(serving)
+	n.balancer.SetLiveNodes(serving, inZone)
 	return f
 }
 
--- a/internal/upstream/apportioner/apportioner.go
+++ b/internal/upstream/apportioner/apportioner.go
@@ -18,6 +18,17 @@
 	return max(1, int(math.Round(float64(callsPerSlot*slots)/float64(max(1, nodes)))))
 }
 
+// CallsInFlightInZone returns how many calls one of the serving nodes in the zone of a leaf may have in flight at it,
+// if otherNodes nodes of other zones serve as well and may have CallsInFlight of them. It is at least as many: calls
+// seldom leave their zone, so what equal parts leave over goes to the nodes of the zone.
+func CallsInFlightInZone(slots, zoneNodes, otherNodes int) int {
+	equal := CallsInFlight(slots, zoneNodes+otherNodes)
+	if zoneNodes <= 0 {
+		return equal
+	}
+	return max(equal, (callsPerSlot*slots-equal*otherNodes)/zoneNodes)
+}
+
 // ServingNodes returns the number of nodes that can serve without more than the intended number of calls in flight at a
 // leaf with the given number of slots, at least 1.
 func ServingNodes(slots int) int {
--- a/internal/upstream/balancer/balancer.go
+++ b/internal/upstream/balancer/balancer.go
@@ -118,6 +118,8 @@
 		// oldest first, at most maxDeparted.
 		departed  []process
 		liveNodes int
+		// zoneNodes is how many of them are known to be in this node's zone; 0 if that is not known.
+		zoneNodes int
 	}
 
 	// process identifies one start of a leaf's process.
@@ -233,12 +235,15 @@
 	b.applyAllLimitsLocked()
 }
 
-// SetLiveNodes sets the number of live nodes, which share each leaf's connections.
-func (b *Balancer) SetLiveNodes(nodes int) {
+// SetLiveNodes sets the number of live nodes, which share each leaf's connections, and how many of them are known to be
+// in this node's zone; 0 if that is not known.
+func (b *Balancer) SetLiveNodes(nodes, inZone int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.liveNodes != max(1, nodes) {
-		b.liveNodes = max(1, nodes)
+	nodes = max(1, nodes)
+	inZone = min(max(0, inZone), nodes)
+	if b.liveNodes != nodes || b.zoneNodes != inZone {
+		b.liveNodes, b.zoneNodes = nodes, inZone
 		b.applyAllLimitsLocked()
 	}
 }
@@ -322,7 +327,11 @@
 // applyLimitsLocked sets this node's share of the leaf's connections and slots.
 func (b *Balancer) applyLimitsLocked(l *Leaf) {
 	l.exchanger.SetConnectionLimit(b.connectionLimit(l.entry.Service))
-	l.exchanger.SetShare(apportioner.CallsInFlight(l.entry.Slots, b.liveNodes))
+	share := apportioner.CallsInFlight(l.entry.Slots, b.liveNodes)
+	if l.entry.Zone == b.config.Zone {
+		share = apportioner.CallsInFlightInZone(l.entry.Slots, b.zoneNodes, b.liveNodes-b.zoneNodes)
+	}
+	l.exchanger.SetShare(share)
 }
 
 // updateUsableLocked rebuilds the list of the service's leaves that may be called. Calls that wait for one that may
--- a/internal/upstream/balancer/balancer_test.go
+++ b/internal/upstream/balancer/balancer_test.go
@@ -185,7 +185,7 @@
 	b.Put(entry("a", "z1"), now)
 	b.SetServices(map[string]balancer.Service{"s": {MaxConnections: 26}})
 	for nodes, want := range map[int]int{1: 22, 9: 2, 100: 1} {
-		b.SetLiveNodes(nodes)
+		b.SetLiveNodes(nodes, 0)
 		is.Equal(usableLeaf(b, "a").Exchanger().ConnectionLimit(), want)
 	}
 }
--- a/internal/upstream/scorer/scorer.go
+++ b/internal/upstream/scorer/scorer.go
@@ -13,8 +13,14 @@
 const (
 	// smoothingFactor is the weight of a new observation in the moving averages.
 	smoothingFactor = 0.3
-	// decayHalfLife is the time in which the share of failures halves, and how far the leaf is faster than a typical one.
-	decayHalfLife = 3 * time.Second
+	// fastHalfLife is the time in which halves how far the leaf is faster than a typical one.
+	fastHalfLife = 3 * time.Second
+	// minFailureHalfLife and maxFailureHalfLife bound the time in which the share of failures halves. Between them it is
+	// the time for which the leaf has been failing.
+	minFailureHalfLife = 250 * time.Millisecond
+	maxFailureHalfLife = 3 * time.Second
+	// healthyFailureShare is the share of failures up to which a success ends the time for which a leaf has been failing.
+	healthyFailureShare = 0.05
 	// minSlowHalfLife and maxSlowHalfLife bound the time in which halves how far the leaf is slower than a typical one.
 	// Between them it is a share of the time for which the leaf has been slow.
 	minSlowHalfLife   = 50 * time.Millisecond
@@ -61,8 +67,11 @@
 		// updatedAt is when slowdown and failureShare were last decayed.
 		updatedAt time.Time
 		// slowSince and slowUntil are the start of the first and the end of the last slow call since the leaf was last about
-		// as fast as a typical one.
+		// as fast as a typical one; the zero time if it is.
 		slowSince, slowUntil time.Time
+		// failingSince and failingUntil are the start of the first and the end of the last failure since the leaf was last
+		// healthy; the zero time if it is.
+		failingSince, failingUntil time.Time
 		// openSince has the start time of each open call, oldest first.
 		openSince []time.Time
 	}
@@ -93,25 +102,39 @@
 		}
 	}
 	s.decay(now)
-	wasSlow := s.slowdown >= slowRatio
 	ratio := min(maxSlowdown, float64(took)/float64(max(typicalLatency, time.Millisecond)))
 	switch o {
 	case Success:
 		s.slowdown += smoothingFactor * (ratio - s.slowdown)
 		s.failureShare -= smoothingFactor * s.failureShare
+		if s.failureShare <= healthyFailureShare {
+			s.failingSince, s.failingUntil = time.Time{}, time.Time{}
+		}
 	case Failure, Rejection:
 		s.failureShare += smoothingFactor * (1 - s.failureShare)
+		if s.failingSince.IsZero() {
+			s.failingSince = startedAt
+		}
+		s.failingUntil = now
 	case Unsent:
 	case Abandoned:
 		if ratio > s.slowdown {
 			s.slowdown += smoothingFactor * (ratio - s.slowdown)
 		}
 	}
-	if ratio >= slowRatio && (o == Success || o == Abandoned) {
-		if !wasSlow {
+	s.noteSlow(startedAt, now, ratio, o)
+}
+
+// noteSlow updates the time for which the leaf has been slow after a call that took ratio times the typical latency.
+func (s *Scorer) noteSlow(startedAt, now time.Time, ratio float64, o Outcome) {
+	switch {
+	case ratio >= slowRatio && (o == Success || o == Abandoned):
+		if s.slowSince.IsZero() {
 			s.slowSince = startedAt
 		}
 		s.slowUntil = now
+	case o == Success && s.slowdown < slowRatio:
+		s.slowSince, s.slowUntil = time.Time{}, time.Time{}
 	}
 }
 
@@ -172,7 +195,7 @@
 	if !s.updatedAt.IsZero() && now.After(s.updatedAt) {
 		elapsed := float64(now.Sub(s.updatedAt))
 		s.slowdown = 1 + (s.slowdown-1)*math.Exp2(-elapsed/float64(s.slowdownHalfLife()))
-		s.failureShare *= math.Exp2(-elapsed / float64(decayHalfLife))
+		s.failureShare *= math.Exp2(-elapsed / float64(s.failureHalfLife()))
 	}
 	s.updatedAt = now
 }
@@ -181,8 +204,14 @@
 // slow for about as long as it has been slow, so that a short pause is forgotten soon.
 func (s *Scorer) slowdownHalfLife() time.Duration {
 	if s.slowdown <= 1 {
-		return decayHalfLife
+		return fastHalfLife
 	}
 	slowFor := float64(s.slowUntil.Sub(s.slowSince))
 	return min(max(time.Duration(slowHalfLifeShare*slowFor), minSlowHalfLife), maxSlowHalfLife)
 }
+
+// failureHalfLife returns the time in which the share of failures halves. A leaf is expected to fail for about as long
+// as it has been failing: after a single failure it is tried again soon, and a leaf that is gone more and more rarely.
+func (s *Scorer) failureHalfLife() time.Duration {
+	return min(max(s.failingUntil.Sub(s.failingSince), minFailureHalfLife), maxFailureHalfLife)
+}
--- a/internal/upstream/scorer/scorer_test.go
+++ b/internal/upstream/scorer/scorer_test.go
@@ -69,3 +69,45 @@
 	}
 	is.Equal(s.OpenCalls(), slots+2)
 }
+
+// Guards against a leaf that is left alone for seconds after one failure or a short pause, and against one that has
+// been failing or slow for long and is tried as soon.
+func TestPenaltyLastsAboutAsLongAsItsCause(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		name string
+		took time.Duration
+		o    scorer.Outcome
+	}{{"slow", 100 * ms, scorer.Success}, {"failing", 100 * ms, scorer.Failure}} {
+		// penaltyEnds returns how long a leaf is expected to be slow after it has been so for a time.
+		penaltyEnds := func(calls int) time.Duration {
+			s, now := scorer.New(), time.Now()
+			for range calls {
+				now = recordCall(s, now, c.took, c.o)
+			}
+			end := time.Duration(0)
+			for s.ExpectedLatency(now.Add(end), typicalLatency, slots) > 2*typicalLatency {
+				end += 10 * ms
+			}
+			return end
+		}
+		once, long := penaltyEnds(1), penaltyEnds(60)
+		t.Logf("%s: once %v, for 6 s %v", c.name, once, long)
+		is.True(once > 0 && once <= 1500*ms)
+		is.True(long >= 2*time.Second)
+	}
+}
+
+// Guards against a leaf that is gone and gets a call every moment because a single failure is soon forgotten.
+func TestLeafThatIsGoneIsTriedRarely(t *testing.T) {
+	is := is.New(t)
+	s, start := scorer.New(), time.Now()
+	tried := 0
+	for at := time.Duration(0); at < 10*time.Second; at += 10 * ms {
+		if s.ExpectedLatency(start.Add(at), typicalLatency, slots) < 4*typicalLatency {
+			recordCall(s, start.Add(at), ms, scorer.Failure)
+			tried++
+		}
+	}
+	is.True(tried >= 2 && tried <= 10)
+}
