--- a/internal/command/frontend/check_test.go
+++ b/internal/command/frontend/check_test.go
@@ -61,6 +61,9 @@
 		{"list that is none", `"Services": [`, `"Limits2": 1, "Services": [`, `:7: error: Limits2: is not a known field`},
 		{"value given twice", `"Attempts": 2`, `"Attempts": 2, "Attempts": 3`, `:5: error: Routes[0].Attempts: is given`},
 		{"service without an entry", `"Service": "s"`, `"Service": "t"`, `:4: error: Routes[0].Backends: service "t" has no`},
+		{"type in an account", `"Limits"`, `"Tenants": [{"Name": 7}], "Limits"`, `:8: error: Tenants[0].Name: must be`},
+		{"field of an account", `"Limits"`, `"Tenants": [{"Key": "x"}], "Limits"`, `:8: error: Tenants[0].Key: is not`},
+		{"public that is no bool", `"Attempts"`, `"Public": "yes", "Attempts"`, `:5: error: Routes[0].Public: must be`},
 		{"target above timeout", `Ms": 50,`, `Ms": 900,`, `:5: error: Routes[0].TargetLatencyMs: 900ms is above`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/forward/inspector/inspector.go
+++ b/internal/forward/inspector/inspector.go
@@ -1,14 +1,16 @@
 // Package inspector finds what is wrong with a configuration before it is sent: values that a node would replace,
-// entries that can never have an effect, and limits that contradict each other. What a node does with an unusable value
-// is decided by package sanitizer; the inspector asks it, so that the two can't disagree.
+// entries that can never have an effect, and limits that contradict each other. What a node does with a value that it
+// can't use is decided by package sanitizer alone, which the inspector asks, so that the two can't disagree.
 package inspector
 
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
+	"github.com/magnoliastep/magnoliastep/internal/forward/sanitizer"
 )
 
 const (
@@ -95,6 +97,7 @@
 	if c.Version <= 0 {
 		n.add(Error, SectionNone, 0, FieldVersion, "%d is not above 0", c.Version)
 	}
+	n.askSanitizer()
 	n.inspectRoutes()
 	n.inspectServices()
 	n.inspectAccounts()
@@ -108,6 +111,22 @@
 	})
 }
 
+// askSanitizer adds the values that a node would replace.
+func (n *inspection) askSanitizer() {
+	c := n.config
+	c.Routes, c.Accounts = slices.Clone(c.Routes), slices.Clone(c.Accounts)
+	for _, p := range sanitizer.Sanitize(&c) {
+		switch {
+		case p.Route >= 0:
+			n.add(Error, SectionRoutes, p.Route, "", "%s", p.Text)
+		case p.Account >= 0:
+			n.add(Error, SectionAccounts, p.Account, "", "%s", p.Text)
+		default:
+			n.add(Error, SectionNone, 0, "", "%s", p.Text)
+		}
+	}
+}
+
 func (n *inspection) inspectRoutes() {
 	names, prefixes := map[string]int{}, map[string]int{}
 	for i := range n.config.Routes {
@@ -242,23 +261,10 @@
 }
 
 func (n *inspection) inspectAccounts() {
-	names, keys := map[string]int{}, map[string]int{}
 	for i, a := range n.config.Accounts {
-		if first, repeated := names[a.Name]; repeated {
-			n.add(Error, SectionAccounts, i, FieldName, "entry %d has the same name", first)
-		} else {
-			names[a.Name] = i
-		}
 		if len(a.Keys) == 0 {
 			n.add(Warning, SectionAccounts, i, FieldKeys, "never matches: the account has no key")
 		}
-		for k, key := range a.Keys {
-			if first, repeated := keys[key]; repeated {
-				n.add(Error, SectionAccounts, i, FieldKeys, "key %d is also a key of entry %d", k, first)
-			} else {
-				keys[key] = i
-			}
-		}
 		switch {
 		case a.Rate > 0 && a.Burst < 1:
 			n.add(Error, SectionAccounts, i, FieldBurst,
--- a/internal/forward/inspector/inspector_test.go
+++ b/internal/forward/inspector/inspector_test.go
@@ -131,7 +131,15 @@
 		{
 			"two accounts with one key", func(c *matcher.Config) {
 				c.Accounts = append(c.Accounts, matcher.Account{Name: "other", Keys: []string{"k"}})
-			}, inspector.Error, inspector.SectionAccounts, 1, "keys",
+			}, inspector.Error, inspector.SectionAccounts, 1, "",
+		},
+		{
+			"account with a name for a header of its own", func(c *matcher.Config) { c.Accounts[0].Name = "club\r\nId: 1" },
+			inspector.Error, inspector.SectionAccounts, 0, "",
+		},
+		{
+			"priority that a node replaces", func(c *matcher.Config) { c.Routes[1].Priority = -1 },
+			inspector.Error, inspector.SectionRoutes, 1, "",
 		},
 		{
 			"quota without a burst", func(c *matcher.Config) { c.Accounts[0].Burst = 0 },
--- a/internal/forward/sanitizer/accounts_test.go
+++ b/internal/forward/sanitizer/accounts_test.go
@@ -1,6 +1,7 @@
 package sanitizer_test
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -83,7 +84,7 @@
 			is.Equal(len(problems), c.problems)
 			is.Equal(config.Accounts, append([]matcher.Account{good}, c.want...))
 			is.True(config.KeysRequired)
-			is.True(!strings.Contains(strings.Join(problems, ""), "secret"))
+			is.True(!strings.Contains(fmt.Sprint(problems), "secret"))
 		})
 	}
 }
@@ -100,7 +101,7 @@
 	}}
 	problems := sanitizer.Sanitize(&config)
 	is.Equal(len(problems), 3) // the name, and the key twice
-	is.True(!strings.Contains(strings.Join(problems, ""), "secret"))
+	is.True(!strings.Contains(fmt.Sprint(problems), "secret"))
 	is.Equal(config.Accounts, []matcher.Account{
 		{Name: "a", Keys: []string{"key-a", "key-a2"}, Rate: 1}, {Name: "b", Keys: []string{"key-b"}}, {Name: "c"},
 	})
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -163,7 +163,7 @@
 		return
 	}
 	for _, problem := range sanitizer.Sanitize(&c) {
-		n.config.Logger.Warn("configuration has an unusable value", "problem", problem, "config_version", c.Version)
+		n.config.Logger.Warn("configuration has an unusable value", "problem", problem.Text, "config_version", c.Version)
 		n.config.Metrics.GetOrCreateCounter(unusableValuesName).Inc()
 	}
 	services := make(map[string]balancer.Service, len(c.Services))
