--- a/internal/clock/timekeeper/timekeeper_test.go
+++ b/internal/clock/timekeeper/timekeeper_test.go
@@ -19,7 +19,7 @@
 		Clock: quartz.NewMock(t), SinceBoot: func() (time.Duration, bool) { return uptime, true },
 	})
 	r := replicator.New(replicator.Config{Clock: clock, OnChange: func(replicator.Document, time.Time) {}})
-	r.ApplyList("config", nil, 7, clock.Now())
+	r.ApplyList("config", nil, replicator.Point{Revision: 7}, clock.Now())
 	uptime += 5 * time.Second // the monotonic clock stands still
 	is.Equal(clock.Since(r.Position("config").ConfirmedAt), 5*time.Second)
 	is.Equal(clock.Until(clock.Now().Add(time.Second)), time.Second)
--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -69,7 +69,7 @@
 		Address: s.StoreAddress, Clock: clock, OnCall: func(call, result string) {
 			set.GetOrCreateCounter(`stepfront_store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
 		},
-		OnUnreadable: unreadableReporter(set, logger),
+		OnUnreadable: unreadableReporter(set, logger), OnUnusedEra: unusedEraReporter(set, logger),
 	})
 	node := nodeConfig(s)
 	node.Store, node.Clock, node.Logger, node.Metrics = store, clock, logger, set
@@ -173,6 +173,18 @@
 	}
 }
 
+// unusedEraReporter returns a function that counts answers of the store whose era can't be used, and logs the first for
+// each reason.
+func unusedEraReporter(set *metrics.Set, logger *slog.Logger) func(reason string) {
+	var logged sync.Map
+	return func(reason string) {
+		set.GetOrCreateCounter(`stepfront_store_eras_unused_total{reason="` + reason + `"}`).Inc()
+		if _, repeated := logged.LoadOrStore(reason, true); !repeated {
+			logger.Warn("answer of the store states no usable era; the era counts as unchanged", "reason", reason)
+		}
+	}
+}
+
 // nodeConfig returns what the settings say of a node.
 func nodeConfig(s platform.Settings) forwarder.Config {
 	return forwarder.Config{
--- a/internal/node/forwarder/capacity_test.go
+++ b/internal/node/forwarder/capacity_test.go
@@ -42,7 +42,7 @@
 			p.Put(balancer.Entry{ID: name, Service: fmt.Sprintf("service-%d", i/3), Address: "10.0.0.1:80", Slots: 6}, now)
 		}
 		put := time.Since(now)
-		r.ApplyList("leaves", documents, int64(leaves), now)
+		r.ApplyList("leaves", documents, replicator.Point{Revision: int64(leaves)}, now)
 		t.Logf("leaves %d: %d B of heap, %.1f us to take one entry", leaves, measureHeap()-before,
 			float64(put.Microseconds())/float64(leaves))
 		started := time.Now()
--- a/internal/node/forwarder/failing_server_test.go
+++ b/internal/node/forwarder/failing_server_test.go
@@ -56,16 +56,16 @@
 	}
 )
 
-func (silentStore) List(ctx context.Context, _ string) ([]replicator.Document, int64, error) {
+func (silentStore) List(ctx context.Context, _ string) ([]replicator.Document, replicator.Point, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, replicator.Point{}, ctx.Err()
 }
 
 func (silentStore) Watch(
 	ctx context.Context, _ string, _ int64, _ time.Duration, _ int64,
-) ([]replicator.Document, int64, error) {
+) ([]replicator.Document, replicator.Point, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, replicator.Point{}, ctx.Err()
 }
 
 func (silentStore) Put(ctx context.Context, _, _ string, _ []byte) error {
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -150,6 +150,8 @@
 		mutex          sync.Mutex
 		// evacuatedZones is the set of zones that are out of service.
 		evacuatedZones map[string]bool
+		// evacuationEnds has the pending end of each evacuation that is missing in a new era of the store, by zone.
+		evacuationEnds map[string]*quartz.Timer
 		// helpers is the number of further serving nodes that this node asks for.
 		helpers atomic.Uint32
 		// joined is set for good once another node has been known.
@@ -166,7 +168,8 @@
 	if c.Listen == nil {
 		c.Listen = listenTCP
 	}
-	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}, failures: make(chan error, 8)}
+	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{},
+		evacuationEnds: map[string]*quartz.Timer{}, failures: make(chan error, 8)}
 	n.setSettings(c.ReloadableSettings, defaultSettings())
 	n.elector = elector.New(elector.Config{
 		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
--- a/internal/node/forwarder/planned_stop_test.go
+++ b/internal/node/forwarder/planned_stop_test.go
@@ -63,24 +63,24 @@
 
 func (c steppedClock) Until(at time.Time, _ ...string) time.Duration { return at.Sub(c.Now()) }
 
-func (fakeStore) List(_ context.Context, kind string) ([]replicator.Document, int64, error) {
+func (fakeStore) List(_ context.Context, kind string) ([]replicator.Document, replicator.Point, error) {
 	switch kind {
 	case "configuration":
-		return []replicator.Document{{Kind: kind, Name: "main", Revision: 1}}, 2, nil
+		return []replicator.Document{{Kind: kind, Name: "main", Revision: 1}}, replicator.Point{Revision: 2}, nil
 	case "leaves":
-		return []replicator.Document{{Kind: kind, Name: "leaf", Revision: 2}}, 2, nil
+		return []replicator.Document{{Kind: kind, Name: "leaf", Revision: 2}}, replicator.Point{Revision: 2}, nil
 	}
-	return nil, 2, nil
+	return nil, replicator.Point{Revision: 2}, nil
 }
 
 func (fakeStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration, _ int64) ([]replicator.Document,
-	int64, error,
+	replicator.Point, error,
 ) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
 	}
-	return nil, after, ctx.Err()
+	return nil, replicator.Point{Revision: after}, ctx.Err()
 }
 
 func (fakeStore) Put(context.Context, string, string, []byte) error { return nil }
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"time"
 
@@ -29,8 +28,6 @@
 	evacuationWait = 2500 * time.Millisecond
 	// discoveryPeriod is the time between two searches in the store for other nodes while none is known.
 	discoveryPeriod = 2 * time.Second
-	// registerDelay is the time before each attempt to register this node in the store. The view is complete by the first.
-	registerDelay = 3 * time.Second
 	// maxFallbackReaderJitter bounds the random delay after which nodes that do not rank as readers read the store.
 	maxFallbackReaderJitter = 20 * time.Second
 	// joinPollPeriod is the time between two checks whether the initial documents have arrived.
@@ -49,7 +46,7 @@
 	c := n.config
 	n.patcher = patcher.New()
 	n.activator = activator.New(activator.Config{Activate: n.tryConfiguration, Clock: c.Clock})
-	n.replicator = replicator.New(replicator.Config{Clock: c.Clock, OnChange: n.documentChanged})
+	n.replicator = replicator.New(replicator.Config{Clock: c.Clock, OnChange: n.documentChanged, OnRenumber: n.patcher.Record})
 	kinds := []string{c.Kinds.Configuration, c.Kinds.Leaves, c.Kinds.Evacuations}
 	n.gossiper = gossiper.New(gossiper.Config{
 		Kinds: kinds, PeerAddress: c.PeerAddress, Messenger: n.messenger, Replica: n.replicator,
@@ -106,17 +103,17 @@
 }
 
 func (a *announcingReplica) ApplyChanges(
-	kind string, after int64, documents []replicator.Document, revision int64, confirmedAt time.Time,
+	kind string, after replicator.Point, documents []replicator.Document, at replicator.Point, confirmedAt time.Time,
 ) bool {
-	applied := a.Replicator.ApplyChanges(kind, after, documents, revision, confirmedAt)
+	applied := a.Replicator.ApplyChanges(kind, after, documents, at, confirmedAt)
 	a.announce()
 	return applied
 }
 
 func (a *announcingReplica) ApplyList(
-	kind string, documents []replicator.Document, revision int64, confirmedAt time.Time,
+	kind string, documents []replicator.Document, at replicator.Point, confirmedAt time.Time,
 ) {
-	a.Replicator.ApplyList(kind, documents, revision, confirmedAt)
+	a.Replicator.ApplyList(kind, documents, at, confirmedAt)
 	a.announce()
 }
 
@@ -179,29 +176,23 @@
 }
 
 func (n *Node) leafChanged(d replicator.Document, confirmedBefore time.Time) {
-	if d.Deleted {
+	switch {
+	case d.Deleted && d.Restored:
+		n.enroller.AwaitReturn(d.Name)
+		return
+	case d.Deleted:
 		n.enroller.ScheduleRemoval(d.Name, confirmedBefore)
 		return
 	}
 	entry, err := n.config.Decoder.Leaf(d)
-	if err != nil {
+	switch {
+	case err != nil:
 		n.enroller.RemoveUnusable(d.Name, err)
-		return
+	case d.Restored:
+		n.enroller.PutRestored(entry)
+	default:
+		n.enroller.Put(entry)
 	}
-	n.enroller.Put(entry)
-}
-
-func (n *Node) evacuationChanged(d replicator.Document) {
-	n.mutex.Lock()
-	if d.Deleted {
-		delete(n.evacuatedZones, d.Name)
-	} else {
-		n.evacuatedZones[d.Name] = true
-	}
-	zones := maps.Clone(n.evacuatedZones)
-	n.mutex.Unlock()
-	n.balancer.SetEvacuatedZones(zones)
-	n.config.Logger.Info("zone evacuation changed", "zone", d.Name, "out_of_service", !d.Deleted, "revision", d.Revision)
 }
 
 // discoverNodes searches the store for other nodes as long as none is known, because the seeds may be out of date.
@@ -252,27 +243,6 @@
 	return n.matcher.Load() != nil && n.replicator.Position(n.config.Kinds.Leaves).Revision > 0
 }
 
-// register writes this node's address into the store once it serves callers, so that nodes which start later find a
-// live node when all seeds are gone.
-func (n *Node) register(ctx context.Context) {
-	data, err := json.Marshal(nodeRecord{PeerAddress: n.config.PeerAddress})
-	if err != nil {
-		n.config.Logger.Error("node record can't be encoded", "error", err)
-		return
-	}
-	for sleeper.Sleep(ctx, n.config.Clock, registerDelay); ctx.Err() == nil; sleeper.Sleep(ctx, n.config.Clock,
-		registerDelay) {
-		if _, serves := n.selector.CountServing(n.config.NodeName); !serves {
-			continue
-		}
-		failure := n.config.Store.Put(ctx, n.config.Kinds.Nodes, n.config.NodeName, data)
-		if failure == nil {
-			return
-		}
-		n.config.Logger.Info("node not registered in the store; trying again", "error", failure)
-	}
-}
-
 // configurationCurrent reports whether the configuration in force was confirmed so recently that no newer one can be
 // due yet, and no newer one is known.
 func (n *Node) configurationCurrent() bool {
--- a/internal/records/gossiper/answer.go
+++ b/internal/records/gossiper/answer.go
@@ -34,18 +34,20 @@
 // collectDocuments returns the documents that the sender of a pull lacks, with the revisions up to which they are
 // complete. It depends only on the pull and on this node's documents, so that nodes that are equally far answer alike.
 func (g *Gossiper) collectDocuments(m *pb.DocumentPull) *pb.Documents {
-	held := map[[2]string]int64{}
+	held := map[[2]string]replicator.Point{}
 	for _, h := range m.GetHeld() {
-		held[[2]string{h.GetKind(), h.GetName()}] = h.GetRevision()
+		held[[2]string{h.GetKind(), h.GetName()}] = replicator.Point{Era: h.GetEra(), Revision: h.GetRevision()}
 	}
 	answer := &pb.Documents{}
 	for _, p := range m.GetPositions() {
-		documents, position, whole := g.config.Replica.ChangesSince(p.GetKind(), p.GetRevision())
-		if position.Revision < p.GetRevision() || position.Revision == 0 {
+		documents, position, whole := g.config.Replica.ChangesSince(p.GetKind(), pointOf(p))
+		if position.Point().Before(pointOf(p)) || position.Revision == 0 {
 			continue
 		}
-		answer.Positions = append(answer.Positions, &pb.DocumentPosition{Kind: p.GetKind(), Revision: position.Revision})
-		if position.Revision == p.GetRevision() {
+		answer.Positions = append(answer.Positions, &pb.DocumentPosition{
+			Kind: p.GetKind(), Era: position.Era, Revision: position.Revision,
+		})
+		if position.Point() == pointOf(p) {
 			continue
 		}
 		if whole {
@@ -59,9 +61,9 @@
 }
 
 // encodeDocument encodes a document as a patch if the receiver holds a known revision of it, or else whole.
-func (g *Gossiper) encodeDocument(d replicator.Document, held int64) *pb.Document {
-	encoded := &pb.Document{Kind: d.Kind, Name: d.Name, Revision: d.Revision, Deleted: d.Deleted}
-	if held > 0 {
+func (g *Gossiper) encodeDocument(d replicator.Document, held replicator.Point) *pb.Document {
+	encoded := &pb.Document{Kind: d.Kind, Name: d.Name, Era: d.Era, Revision: d.Revision, Deleted: d.Deleted}
+	if held.Revision > 0 {
 		encoded.Patch = g.config.Patcher.Patch(d, held)
 	}
 	if encoded.GetPatch() == nil {
@@ -70,12 +72,12 @@
 	return encoded
 }
 
-// positionsOf returns this node's positions for the kinds of which it still has the stated revision, as of now.
+// positionsOf returns this node's positions for the kinds of which it is still at the stated point, as of now.
 func (g *Gossiper) positionsOf(stated []*pb.DocumentPosition) []*pb.DocumentPosition {
 	positions := make([]*pb.DocumentPosition, 0, len(stated))
 	for _, s := range stated {
 		p := g.encodePosition(s.GetKind(), g.config.Replica.Position(s.GetKind()))
-		if p.GetRevision() != s.GetRevision() {
+		if pointOf(p) != pointOf(s) {
 			p = s
 		}
 		positions = append(positions, p)
--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -53,16 +53,17 @@
 
 	// Replica holds this node's documents.
 	Replica interface {
-		ApplyList(kind string, documents []replicator.Document, revision int64, confirmedAt time.Time)
-		ApplyChanges(kind string, after int64, documents []replicator.Document, revision int64, confirmedAt time.Time) bool
+		ApplyList(kind string, documents []replicator.Document, at replicator.Point, confirmedAt time.Time)
+		ApplyChanges(kind string, after replicator.Point, documents []replicator.Document, at replicator.Point,
+			confirmedAt time.Time) bool
 		Position(kind string) replicator.Position
-		ChangesSince(kind string, after int64) ([]replicator.Document, replicator.Position, bool)
+		ChangesSince(kind string, after replicator.Point) ([]replicator.Document, replicator.Position, bool)
 	}
 
 	// Patcher makes and applies patches of the documents that this node holds.
 	Patcher interface {
 		Held() []*pb.HeldDocument
-		Patch(d replicator.Document, base int64) *pb.DocumentPatch
+		Patch(d replicator.Document, base replicator.Point) *pb.DocumentPatch
 		Apply(kind, name string, patch *pb.DocumentPatch) ([]byte, error)
 	}
 
@@ -112,7 +113,7 @@
 		pulling bool
 		// pullsUnderWay has the peer addresses of the nodes from which a pull is under way.
 		pullsUnderWay map[string]bool
-		// announced has, by kind, the revisions above this node's that notices have announced.
+		// announced has, by kind, the points after this node's that notices have announced.
 		announced map[string]announcedRevisions
 		// partial is the answer of which a pull was interrupted; nil without one.
 		partial *partialAnswer
@@ -178,8 +179,8 @@
 	for _, p := range n.GetPositions() {
 		known := g.config.Replica.Position(p.GetKind())
 		confirmedAt := n.receivedAt.Add(-p.GetConfirmedAgo().AsDuration())
-		if p.GetRevision() > known.Revision ||
-			(p.GetRevision() == known.Revision && confirmedAt.Sub(known.ConfirmedAt) > minForwardAdvance) {
+		if known.Point().Before(pointOf(p)) ||
+			(known.Point() == pointOf(p) && confirmedAt.Sub(known.ConfirmedAt) > minForwardAdvance) {
 			return true
 		}
 	}
@@ -236,6 +237,7 @@
 
 func (g *Gossiper) encodePosition(kind string, p replicator.Position) *pb.DocumentPosition {
 	return &pb.DocumentPosition{
-		Kind: kind, Revision: p.Revision, ConfirmedAgo: durationpb.New(g.config.Clock.Since(p.ConfirmedAt)),
+		Kind: kind, Era: p.Era, Revision: p.Revision,
+		ConfirmedAgo: durationpb.New(g.config.Clock.Since(p.ConfirmedAt)),
 	}
 }
--- a/internal/records/gossiper/gossiper_test.go
+++ b/internal/records/gossiper/gossiper_test.go
@@ -131,10 +131,16 @@
 	return f
 }
 
+// at returns a point of a store that states no era.
+func at(revision int64) replicator.Point {
+	return replicator.Point{Revision: revision}
+}
+
 // applyFromStore gives the first node a list from the store at a revision.
 func (f *fleet) applyFromStore(revision int64) {
 	name := f.names[0]
-	f.replica[name].ApplyList(kind, []replicator.Document{{Kind: kind, Name: "a", Revision: revision}}, revision,
+	f.replica[name].ApplyList(kind, []replicator.Document{{Kind: kind, Name: "a", Revision: revision}},
+		at(revision),
 		time.Now())
 	f.gossiper[name].Announce()
 }
@@ -162,7 +168,7 @@
 				time.Sleep(within)
 				is.Equal(f.countNodesAt(7), nodes)
 				confirmedAt := time.Now()
-				f.replica["node-0"].ApplyChanges(kind, 7, nil, 7, confirmedAt.Add(time.Second))
+				f.replica["node-0"].ApplyChanges(kind, at(7), nil, at(7), confirmedAt.Add(time.Second))
 				f.gossiper["node-0"].Announce()
 				time.Sleep(time.Second)
 				for _, r := range f.replica {
--- a/internal/records/gossiper/pull.go
+++ b/internal/records/gossiper/pull.go
@@ -121,7 +121,7 @@
 	defer g.mutex.Unlock()
 	p := g.partial
 	g.partial = nil
-	if p == nil || !maps.Equal(revisions(p.pull.GetPositions()), revisions(pull.GetPositions())) {
+	if p == nil || !maps.Equal(points(p.pull.GetPositions()), points(pull.GetPositions())) {
 		return &partialAnswer{pull: pull}
 	}
 	return p
@@ -149,7 +149,8 @@
 			data = patched
 		}
 		documents = append(documents, replicator.Document{
-			Kind: d.GetKind(), Name: d.GetName(), Revision: d.GetRevision(), Deleted: d.GetDeleted(), Data: data,
+			Kind: d.GetKind(), Name: d.GetName(), Era: d.GetEra(), Revision: d.GetRevision(),
+			Deleted: d.GetDeleted(), Data: data,
 		})
 	}
 	return documents, nil
@@ -163,17 +164,17 @@
 	for _, d := range documents {
 		byKind[d.Kind] = append(byKind[d.Kind], d)
 	}
-	after := revisions(pull.GetPositions())
+	after := points(pull.GetPositions())
 	advanced := false
 	for _, p := range m.GetPositions() {
-		kind, revision := p.GetKind(), p.GetRevision()
+		kind, at := p.GetKind(), pointOf(p)
 		confirmedAt := confirmationTime(positions, p, requestedAt)
 		known := g.config.Replica.Position(kind)
-		advanced = advanced || revision > known.Revision || confirmedAt.Sub(known.ConfirmedAt) > minForwardAdvance
+		advanced = advanced || known.Point().Before(at) || confirmedAt.Sub(known.ConfirmedAt) > minForwardAdvance
 		if slices.Contains(m.GetWholeKinds(), kind) {
-			g.config.Replica.ApplyList(kind, byKind[kind], revision, confirmedAt)
+			g.config.Replica.ApplyList(kind, byKind[kind], at, confirmedAt)
 		} else {
-			g.config.Replica.ApplyChanges(kind, after[kind], byKind[kind], revision, confirmedAt)
+			g.config.Replica.ApplyChanges(kind, after[kind], byKind[kind], at, confirmedAt)
 		}
 	}
 	if advanced && g.config.ForwardChanges() {
@@ -190,10 +191,10 @@
 	g.config.OnDocuments(t)
 }
 
-// isBehind reports whether this node's revision of any kind is below that of a position.
+// isBehind reports whether this node's position of any kind is before one of the positions.
 func (g *Gossiper) isBehind(positions []*pb.DocumentPosition) bool {
 	return slices.ContainsFunc(positions, func(p *pb.DocumentPosition) bool {
-		return p.GetRevision() > g.config.Replica.Position(p.GetKind()).Revision
+		return g.config.Replica.Position(p.GetKind()).Point().Before(pointOf(p))
 	})
 }
 
@@ -201,17 +202,17 @@
 // has changed since.
 func confirmationTime(positions []*pb.DocumentPosition, of *pb.DocumentPosition, requestedAt time.Time) time.Time {
 	for _, p := range positions {
-		if p.GetKind() == of.GetKind() && p.GetRevision() == of.GetRevision() && p.GetConfirmedAgo() != nil {
+		if p.GetKind() == of.GetKind() && pointOf(p) == pointOf(of) && p.GetConfirmedAgo() != nil {
 			return requestedAt.Add(-p.GetConfirmedAgo().AsDuration())
 		}
 	}
 	return time.Time{}
 }
 
-func revisions(positions []*pb.DocumentPosition) map[string]int64 {
-	byKind := make(map[string]int64, len(positions))
+func points(positions []*pb.DocumentPosition) map[string]replicator.Point {
+	byKind := make(map[string]replicator.Point, len(positions))
 	for _, p := range positions {
-		byKind[p.GetKind()] = p.GetRevision()
+		byKind[p.GetKind()] = pointOf(p)
 	}
 	return byKind
 }
--- a/internal/records/gossiper/slow_links_test.go
+++ b/internal/records/gossiper/slow_links_test.go
@@ -105,7 +105,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	c := newConfiguration(records, random)
 	read := func(revision int64) {
-		f.replica[f.names[0]].ApplyList(kind, []replicator.Document{c.document(revision)}, revision, time.Now())
+		f.replica[f.names[0]].ApplyList(kind, []replicator.Document{c.document(revision)}, at(revision), time.Now())
 		f.gossiper[f.names[0]].Announce()
 	}
 	read(1)
@@ -184,7 +184,7 @@
 					Data: bytes.Join([][]byte{newRecord(random), newRecord(random)}, nil),
 				}
 			}
-			reader.ApplyChanges(kind, revision-1, documents, revision+batch-1, time.Now())
+			reader.ApplyChanges(kind, at(revision-1), documents, at(revision+batch-1), time.Now())
 			f.gossiper[f.names[0]].Announce()
 			time.Sleep(150 * time.Millisecond)
 		}
@@ -209,7 +209,7 @@
 		time.Sleep(time.Second)
 		reader, follower := f.gossiper["node-0"], f.gossiper["node-1"]
 		confirmedAt := time.Now()
-		f.replica["node-0"].ApplyChanges(kind, 7, nil, 7, confirmedAt)
+		f.replica["node-0"].ApplyChanges(kind, at(7), nil, at(7), confirmedAt)
 		delayed := &pb.DocumentNotice{PeerAddress: "node-0", Positions: reader.HandlePull(&pb.DocumentPull{
 			Positions: []*pb.DocumentPosition{{Kind: kind}},
 		}).GetPositions()}
@@ -231,12 +231,12 @@
 		f.isolated.Store("node-1", true)
 		for i, name := range f.names {
 			c := newConfiguration(100, rand.New(rand.NewPCG(uint64(i), 2)))
-			f.replica[name].ApplyList(kind, []replicator.Document{c.document(1)}, 1, time.Now())
+			f.replica[name].ApplyList(kind, []replicator.Document{c.document(1)}, at(1), time.Now())
 		}
 		f.isolated.Delete("node-1")
 		changed := newConfiguration(100, rand.New(rand.NewPCG(0, 2)))
 		changed[50] = newRecord(rand.New(rand.NewPCG(3, 2)))
-		f.replica["node-0"].ApplyList(kind, []replicator.Document{changed.document(2)}, 2, time.Now())
+		f.replica["node-0"].ApplyList(kind, []replicator.Document{changed.document(2)}, at(2), time.Now())
 		f.gossiper["node-0"].Announce()
 		time.Sleep(time.Second)
 		is.Equal(f.replica["node-1"].Documents(kind), []replicator.Document{changed.document(2)})
@@ -267,11 +267,11 @@
 		since, behind := follower.BehindSince(kind)
 		is.True(behind)
 		is.Equal(since, announcedAt)
-		f.replica["node-1"].ApplyList(kind, nil, 9, time.Now())
+		f.replica["node-1"].ApplyList(kind, nil, at(9), time.Now())
 		since, behind = follower.BehindSince(kind)
 		is.True(behind)
 		is.Equal(since, announcedAt.Add(100*time.Millisecond)) // revision 10
-		f.replica["node-1"].ApplyList(kind, nil, 199, time.Now())
+		f.replica["node-1"].ApplyList(kind, nil, at(199), time.Now())
 		_, behind = follower.BehindSince(kind)
 		is.True(!behind)
 		cancel()
@@ -288,7 +288,7 @@
 		f.links = &slowLinks{links: map[string]*slowLink{}}
 		f.isolated.Store("node-19", true) // gets no notices
 		c := newConfiguration(6000, rand.New(rand.NewPCG(1, 2)))
-		f.replica["node-0"].ApplyList(kind, []replicator.Document{c.document(1)}, 1, time.Now())
+		f.replica["node-0"].ApplyList(kind, []replicator.Document{c.document(1)}, at(1), time.Now())
 		f.isolated.Delete("node-19")
 		answered := f.pulls.Load()
 		for range 50 {
--- a/internal/records/patcher/patcher.go
+++ b/internal/records/patcher/patcher.go
@@ -39,14 +39,14 @@
 	documentKey struct{ kind, name string }
 
 	history struct {
-		// revisions are in ascending order, at most maxRevisions.
+		// revisions are in the order of their points, at most maxRevisions.
 		revisions []revision
 		// data is the content of the last revision.
 		data []byte
 	}
 
 	revision struct {
-		number   int64
+		at       replicator.Point
 		segments []segment
 	}
 )
@@ -70,7 +70,7 @@
 		h = &history{}
 		p.histories[key] = h
 	}
-	h.revisions = append(h.revisions, revision{d.Revision, split(d.Data)})
+	h.revisions = append(h.revisions, revision{d.Point(), split(d.Data)})
 	if len(h.revisions) > maxRevisions {
 		h.revisions = slices.Delete(h.revisions, 0, 1)
 	}
@@ -83,25 +83,26 @@
 	defer p.mutex.Unlock()
 	held := make([]*pb.HeldDocument, 0, len(p.histories))
 	for k, h := range p.histories {
-		held = append(held, &pb.HeldDocument{Kind: k.kind, Name: k.name, Revision: h.last().number})
+		at := h.last().at
+		held = append(held, &pb.HeldDocument{Kind: k.kind, Name: k.name, Era: at.Era, Revision: at.Revision})
 	}
 	return held
 }
 
 // Patch returns a patch that makes the document from a revision of it, or nil if one of the two is not known.
-func (p *Patcher) Patch(d replicator.Document, base int64) *pb.DocumentPatch {
+func (p *Patcher) Patch(d replicator.Document, base replicator.Point) *pb.DocumentPatch {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	h := p.histories[documentKey{d.Kind, d.Name}]
-	if h == nil || h.last().number != d.Revision {
+	if h == nil || h.last().at != d.Point() {
 		return nil
 	}
-	i := slices.IndexFunc(h.revisions, func(r revision) bool { return r.number == base })
+	i := slices.IndexFunc(h.revisions, func(r revision) bool { return r.at == base })
 	if i < 0 {
 		return nil
 	}
 	return &pb.DocumentPatch{
-		BaseRevision: base, Segments: compare(h.revisions[i].segments, h.last().segments, h.data),
+		BaseEra: base.Era, BaseRevision: base.Revision, Segments: compare(h.revisions[i].segments, h.last().segments, h.data),
 		Digest: xxhash.Sum64(h.data),
 	}
 }
@@ -109,18 +110,19 @@
 // Apply returns the content of a document after a patch. The error is ErrBaseMissing if this node does not hold the
 // revision to which the patch applies.
 func (p *Patcher) Apply(kind, name string, patch *pb.DocumentPatch) ([]byte, error) {
+	base := replicator.Point{Era: patch.GetBaseEra(), Revision: patch.GetBaseRevision()}
 	p.mutex.Lock()
 	h := p.histories[documentKey{kind, name}]
-	if h == nil || h.last().number != patch.GetBaseRevision() {
+	if h == nil || h.last().at != base {
 		p.mutex.Unlock()
-		return nil, errors.Wrapf(ErrBaseMissing, "%s/%s at %d", kind, name, patch.GetBaseRevision())
+		return nil, errors.Wrapf(ErrBaseMissing, "%s/%s at %d of era %d", kind, name, base.Revision, base.Era)
 	}
-	base := h.data
+	held := h.data
 	p.mutex.Unlock()
 	size := uint64(0)
 	for _, s := range patch.GetSegments() {
 		end := s.GetOffset() + s.GetLength()
-		if end < s.GetOffset() || end > uint64(len(base)) {
+		if end < s.GetOffset() || end > uint64(len(held)) {
 			return nil, errors.Newf("patcher: patch of %s/%s exceeds its base", kind, name)
 		}
 		size += uint64(len(s.GetLiteral())) + s.GetLength()
@@ -131,7 +133,7 @@
 	data := make([]byte, 0, size)
 	for _, s := range patch.GetSegments() {
 		data = append(data, s.GetLiteral()...)
-		data = append(data, base[s.GetOffset():s.GetOffset()+s.GetLength()]...)
+		data = append(data, held[s.GetOffset():s.GetOffset()+s.GetLength()]...)
 	}
 	if xxhash.Sum64(data) != patch.GetDigest() {
 		return nil, errors.Newf("patcher: patched %s/%s has another digest", kind, name)
--- a/internal/records/patcher/patcher_test.go
+++ b/internal/records/patcher/patcher_test.go
@@ -19,6 +19,11 @@
 	return replicator.Document{Kind: "config", Name: "main", Revision: revision, Data: data}
 }
 
+// at returns a point of a store that states no era.
+func at(revision int64) replicator.Point {
+	return replicator.Point{Revision: revision}
+}
+
 func records(first, count int) []byte {
 	var b bytes.Buffer
 	for i := first; i < first+count; i++ {
@@ -45,7 +50,7 @@
 			if rapid.Bool().Draw(t, "missed") {
 				continue
 			}
-			patch := sender.Patch(d, held)
+			patch := sender.Patch(d, at(held))
 			if patch == nil {
 				t.Fatalf("no patch from %d to %d", held, revision)
 			}
@@ -67,7 +72,7 @@
 	p.Record(document(1, old))
 	changed := document(2, append([]byte(`{"Version":2,"Name":"new"},`), old...))
 	p.Record(changed)
-	is.True(proto.Size(p.Patch(changed, 1)) < 4096)
+	is.True(proto.Size(p.Patch(changed, at(1))) < 4096)
 }
 
 // Guards against patches applied to another revision than the one from which they were made, or that were damaged.
@@ -77,7 +82,7 @@
 	sender.Record(document(1, records(0, 300)))
 	changed := document(2, records(1, 300))
 	sender.Record(changed)
-	patch := sender.Patch(changed, 1)
+	patch := sender.Patch(changed, at(1))
 	_, err := receiver.Apply("config", "main", patch)
 	is.True(errors.Is(err, patcher.ErrBaseMissing)) // no revision is held
 	receiver.Record(document(5, records(9, 300)))
@@ -91,8 +96,8 @@
 		BaseRevision: 1, Segments: []*pb.PatchSegment{{Offset: ^uint64(0), Length: 2}},
 	})
 	is.True(err != nil) // the end of the range overflows
-	is.True(sender.Patch(document(3, records(1, 300)), 1) == nil)
-	is.True(sender.Patch(changed, 4) == nil)
+	is.True(sender.Patch(document(3, records(1, 300)), at(1)) == nil)
+	is.True(sender.Patch(changed, at(4)) == nil)
 }
 
 // Guards against memory for small documents, deleted documents and all revisions ever seen.
@@ -106,8 +111,35 @@
 	is.Equal(len(p.Held()), 1)
 	is.Equal(p.Held()[0].GetRevision(), int64(100))
 	last := document(100, records(100, 200))
-	is.True(p.Patch(last, 1) == nil)
-	is.True(p.Patch(last, 99) != nil)
+	is.True(p.Patch(last, at(1)) == nil)
+	is.True(p.Patch(last, at(99)) != nil)
 	p.Record(replicator.Document{Kind: "config", Name: "main", Revision: 101, Deleted: true})
 	is.Equal(len(p.Held()), 0)
 }
+
+// Guards against a patch made from a revision that a store restored from a copy has given out again with other content.
+func TestRevisionOfAnotherEraIsNoBase(t *testing.T) {
+	is := is.New(t)
+	inEra := func(era, revision int64, data []byte) replicator.Document {
+		d := document(revision, data)
+		d.Era = era
+		return d
+	}
+	p := patcher.New()
+	p.Record(inEra(3, 5, records(0, 300)))
+	p.Record(inEra(4, 5, records(1, 300)))
+	last := inEra(4, 6, records(2, 300))
+	p.Record(last)
+	is.Equal(p.Held()[0].GetEra(), int64(4))
+	patch := p.Patch(last, replicator.Point{Era: 4, Revision: 5})
+	is.True(patch != nil)
+	is.True(p.Patch(last, replicator.Point{Era: 2, Revision: 5}) == nil)
+	receiver := patcher.New()
+	receiver.Record(inEra(3, 5, records(0, 300)))
+	_, err := receiver.Apply("config", "main", patch)
+	is.True(errors.Is(err, patcher.ErrBaseMissing))
+	receiver.Record(inEra(4, 5, records(1, 300)))
+	patched, err := receiver.Apply("config", "main", patch)
+	is.NoErr(err)
+	is.True(bytes.Equal(patched, last.Data))
+}
--- a/internal/records/replicator/replicator.go
+++ b/internal/records/replicator/replicator.go
@@ -1,9 +1,13 @@
 // Package replicator holds this node's copy of the documents in the platform's store. It applies complete lists and
 // changes, which come from the store or from other nodes, and reports each document that is new to this node once, in
-// order of revision. A document never goes back to an older revision.
+// order of revision. A document never goes back to an older point.
 //
-// A position states the revision up to which all documents of a kind are known. Nodes compare positions to find out
+// A position states the point up to which all documents of a kind are known. Nodes compare positions to find out
 // which of them has newer documents.
+//
+// A store that was restored from a copy gives out revisions again. It says so by a new era, and points are ordered by era
+// before revision. The first list of a new era is compared with the known documents by content, because their revisions
+// say nothing there.
 package replicator
 
 import (
@@ -24,12 +28,17 @@
 	Document struct {
 		Kind string
 		Name string
+		// Era is the era of the store in which the document was listed or changed.
+		Era int64
 		// Revision is the store's revision as of the document's last change. It is above 0.
 		Revision int64
 		// Deleted documents have no data.
 		Deleted bool
 		// Data is the content as the platform encodes it.
 		Data []byte
+		// Restored is set if the document differs from what was known only because the store was restored from a copy, as
+		// far as can be told: its owner may not have written it again yet. It is not set on documents that are held.
+		Restored bool
 	}
 
 	// Config holds what a Replicator needs.
@@ -39,10 +48,14 @@
 		// the previous position of the document's kind was last confirmed; the change was made after that time.
 		// OnChange must not call the Replicator.
 		OnChange func(d Document, confirmedBefore time.Time)
+		// OnRenumber, if not nil, is called for each document whose content a new era has left as it was.
+		OnRenumber func(d Document)
 	}
 
 	// Position states how far this node has followed the documents of a kind.
 	Position struct {
+		// Era is 0 while the store has not stated one.
+		Era int64
 		// Revision is 0 while no complete list of the kind is known.
 		Revision int64
 		// ConfirmedAt is when the store last confirmed that it held no newer revision.
@@ -61,8 +74,8 @@
 		position  Position
 		// deletedAt maps the name of each deleted document to the time of its tombstone.
 		deletedAt map[string]time.Time
-		// compactedRevision is the revision up to which tombstones may be missing.
-		compactedRevision int64
+		// compacted is the point up to which tombstones may be missing.
+		compacted Point
 	}
 )
 
@@ -71,44 +84,53 @@
 	return &Replicator{config: c, kinds: map[string]*kind{}}
 }
 
-// ApplyList replaces the documents of a kind by the complete list as of a revision. Documents that are not listed are
+// ApplyList replaces the documents of a kind by the complete list as of a point. Documents that are not listed are
 // deleted. A list that is older than this node's position is ignored.
-func (r *Replicator) ApplyList(name string, documents []Document, revision int64, confirmedAt time.Time) {
+func (r *Replicator) ApplyList(name string, documents []Document, at Point, confirmedAt time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	k := r.kind(name)
-	if revision < k.position.Revision {
+	before := k.position.Point()
+	if at.Before(before) {
 		return
 	}
+	newEra := before.Revision > 0 && at.Era > before.Era
 	listedNames := map[string]bool{}
-	for _, d := range documents {
+	for i, d := range documents {
 		listedNames[d.Name] = true
+		documents[i].Era, documents[i].Restored = at.Era, newEra && d.Revision <= before.Revision
 	}
 	changes := documents
 	for n, d := range k.documents {
 		if !listedNames[n] && !d.Deleted {
-			changes = append(changes, Document{Kind: name, Name: n, Revision: revision, Deleted: true})
+			changes = append(changes, Document{
+				Kind: name, Name: n, Era: at.Era, Revision: at.Revision, Deleted: true, Restored: newEra,
+			})
 		}
 	}
 	r.apply(k, changes)
-	k.advance(revision, confirmedAt)
+	k.advance(at, confirmedAt)
 	// A list does not show documents that were created and deleted since the last position.
-	k.compactedRevision = max(k.compactedRevision, revision)
+	k.compacted = k.compacted.latest(at)
 }
 
-// ApplyChanges applies the documents that changed after one revision, up to another. It returns false, and applies
-// nothing, if this node's position is below the first revision: the changes between the two are missing.
-func (r *Replicator) ApplyChanges(name string, after int64, documents []Document, revision int64,
+// ApplyChanges applies the documents that changed after one point, up to another. It returns false, and applies
+// nothing, if this node's position is below the first point, so that the changes between the two are missing, or if the
+// points are not of the era of this node's position.
+func (r *Replicator) ApplyChanges(name string, after Point, documents []Document, at Point,
 	confirmedAt time.Time,
 ) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	k := r.kind(name)
-	if k.position.Revision < after {
+	if k.position.Revision < after.Revision || k.position.Era != after.Era || k.position.Era != at.Era {
 		return false
 	}
+	for i := range documents {
+		documents[i].Era = at.Era
+	}
 	r.apply(k, documents)
-	k.advance(revision, confirmedAt)
+	k.advance(at, confirmedAt)
 	return true
 }
 
@@ -119,25 +141,25 @@
 	return r.kind(name).position
 }
 
-// ChangesSince returns the documents of a kind that are newer than a revision, with tombstones. If tombstones since
-// that revision may have been dropped, it returns all documents that exist instead and sets whole.
-func (r *Replicator) ChangesSince(name string, after int64) (documents []Document, position Position, whole bool) {
+// ChangesSince returns the documents of a kind that are newer than a point, with tombstones. If tombstones since that
+// point may have been dropped, it returns all documents that exist instead and sets whole.
+func (r *Replicator) ChangesSince(name string, after Point) (documents []Document, position Position, whole bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	k := r.kind(name)
-	whole = after == 0 || after < k.compactedRevision
+	whole = after.Revision == 0 || after.Before(k.compacted)
 	for _, d := range k.documents {
-		if (whole && !d.Deleted) || (!whole && d.Revision > after) {
+		if (whole && !d.Deleted) || (!whole && after.Before(d.Point())) {
 			documents = append(documents, d)
 		}
 	}
-	sort.Slice(documents, func(i, j int) bool { return documents[i].Revision < documents[j].Revision })
+	sort.Slice(documents, func(i, j int) bool { return documents[i].Point().Before(documents[j].Point()) })
 	return documents, k.position, whole
 }
 
 // Documents returns the documents of a kind, without tombstones.
 func (r *Replicator) Documents(name string) []Document {
-	documents, _, _ := r.ChangesSince(name, 0)
+	documents, _, _ := r.ChangesSince(name, Point{})
 	return documents
 }
 
@@ -162,17 +184,23 @@
 }
 
 func (r *Replicator) apply(k *kind, documents []Document) {
-	sort.SliceStable(documents, func(i, j int) bool { return documents[i].Revision < documents[j].Revision })
+	sort.SliceStable(documents, func(i, j int) bool { return documents[i].Point().Before(documents[j].Point()) })
 	now := r.config.Clock.Now()
 	for _, d := range documents {
 		known, exists := k.documents[d.Name]
-		if exists && known.Revision >= d.Revision {
+		if exists && !known.Point().Before(d.Point()) {
 			continue
 		}
 		if d.Deleted && (!exists || known.Deleted) {
 			continue
 		}
-		k.documents[d.Name] = d
+		held := d
+		held.Restored = false
+		k.documents[d.Name] = held
+		if exists && known.Era < d.Era && known.equals(d) {
+			r.renumber(held)
+			continue
+		}
 		if d.Deleted {
 			k.deletedAt[d.Name] = now
 		} else {
@@ -183,18 +211,25 @@
 	k.dropExpiredTombstones(now)
 }
 
+func (r *Replicator) renumber(d Document) {
+	if r.config.OnRenumber != nil {
+		r.config.OnRenumber(d)
+	}
+}
+
 func (k *kind) dropExpiredTombstones(now time.Time) {
 	for n, at := range k.deletedAt {
 		if now.Sub(at) > tombstoneRetention {
-			k.compactedRevision = max(k.compactedRevision, k.documents[n].Revision)
+			k.compacted = k.compacted.latest(k.documents[n].Point())
 			delete(k.documents, n)
 			delete(k.deletedAt, n)
 		}
 	}
 }
 
-func (k *kind) advance(revision int64, confirmedAt time.Time) {
-	k.position.Revision = max(k.position.Revision, revision)
+func (k *kind) advance(at Point, confirmedAt time.Time) {
+	at = at.latest(k.position.Point())
+	k.position.Era, k.position.Revision = at.Era, at.Revision
 	if confirmedAt.After(k.position.ConfirmedAt) {
 		k.position.ConfirmedAt = confirmedAt
 	}
--- a/internal/records/replicator/replicator_test.go
+++ b/internal/records/replicator/replicator_test.go
@@ -22,20 +22,25 @@
 	return d
 }
 
+// at returns a point of a store that states no era.
+func at(revision int64) replicator.Point {
+	return replicator.Point{Revision: revision}
+}
+
 func TestApplyListDeletesUnlistedDocuments(t *testing.T) {
 	is := is.New(t)
 	var changes []replicator.Document
 	r := replicator.New(replicator.Config{Clock: quartz.NewMock(t), OnChange: func(d replicator.Document, _ time.Time) {
 		changes = append(changes, d)
 	}})
-	r.ApplyList(kind, []replicator.Document{document("a", 3, false), document("b", 2, false)}, 5, time.Time{})
-	r.ApplyList(kind, []replicator.Document{document("b", 7, false)}, 9, time.Time{})
+	r.ApplyList(kind, []replicator.Document{document("a", 3, false), document("b", 2, false)}, at(5), time.Time{})
+	r.ApplyList(kind, []replicator.Document{document("b", 7, false)}, at(9), time.Time{})
 	is.Equal(len(changes), 4) // b@2, a@3, b@7, deletion of a
 	is.Equal(len(r.Documents(kind)), 1)
 	is.Equal(r.Position(kind).Revision, int64(9))
-	r.ApplyList(kind, []replicator.Document{document("a", 3, false)}, 5, time.Time{}) // an older list
+	r.ApplyList(kind, []replicator.Document{document("a", 3, false)}, at(5), time.Time{}) // an older list
 	is.Equal(len(r.Documents(kind)), 1)
-	is.True(!r.ApplyChanges(kind, 12, []replicator.Document{document("c", 14, false)}, 14, time.Time{})) // a gap
+	is.True(!r.ApplyChanges(kind, at(12), []replicator.Document{document("c", 14, false)}, at(14), time.Time{})) // a gap
 	is.Equal(r.Position(kind).Revision, int64(9))
 }
 
@@ -49,9 +54,9 @@
 		before = at
 	}})
 	first := clock.Now()
-	r.ApplyList(kind, []replicator.Document{document("a", 1, false)}, 1, first)
+	r.ApplyList(kind, []replicator.Document{document("a", 1, false)}, at(1), first)
 	clock.Advance(time.Second)
-	r.ApplyChanges(kind, 1, []replicator.Document{document("a", 2, true)}, 2, clock.Now())
+	r.ApplyChanges(kind, at(1), []replicator.Document{document("a", 2, true)}, at(2), clock.Now())
 	is.Equal(before, first)
 	is.Equal(r.Position(kind).ConfirmedAt, clock.Now())
 }
@@ -90,10 +95,10 @@
 				for _, d := range store {
 					list = append(list, d)
 				}
-				r.ApplyList(kind, list, revision, clock.Now())
+				r.ApplyList(kind, list, at(revision), clock.Now())
 			case 1:
-				if after := r.Position(kind).Revision; after > 0 {
-					r.ApplyChanges(kind, after, append([]replicator.Document(nil), changeLog[after:]...), revision, clock.Now())
+				if after := r.Position(kind).Point(); after.Revision > 0 {
+					r.ApplyChanges(kind, after, append([]replicator.Document(nil), changeLog[after.Revision:]...), at(revision), clock.Now())
 				}
 			case 2:
 				pull(replicas[0], replicas[1])
@@ -109,11 +114,11 @@
 
 // pull brings the first replica up to the position of the second.
 func pull(to, from *replicator.Replicator) {
-	after := to.Position(kind).Revision
+	after := to.Position(kind).Point()
 	documents, position, whole := from.ChangesSince(kind, after)
 	if whole {
-		to.ApplyList(kind, documents, position.Revision, position.ConfirmedAt)
+		to.ApplyList(kind, documents, position.Point(), position.ConfirmedAt)
 	} else {
-		to.ApplyChanges(kind, after, documents, position.Revision, position.ConfirmedAt)
+		to.ApplyChanges(kind, after, documents, position.Point(), position.ConfirmedAt)
 	}
 }
--- a/internal/records/watcher/watcher.go
+++ b/internal/records/watcher/watcher.go
@@ -1,7 +1,8 @@
 // Package watcher follows the documents of one kind in the platform's store: it lists them once, then watches for
 // changes, and applies both to the replica. It retries with backoff while the store is down or slow, and lists again
-// when the store has dropped the changes that it would need, or when they are too large: a watch returns all revisions
-// of a document that changed often, a list only the last one.
+// when the store has dropped the changes that it would need, when they are too large, or when the store has begun a new
+// era, in which the known revision says nothing: a watch returns all revisions of a document that changed often, a list
+// only the last one.
 package watcher
 
 import (
@@ -39,24 +40,28 @@
 	ErrHistoryGone = errors.New("store: history is gone")
 	// ErrChangesTooLarge is returned when the changes that the watch would have returned are too large to be read.
 	ErrChangesTooLarge = errors.New("store: changes are too large")
+	// errFormerEra is returned when an answer of the store is of an era that this node knows to be over.
+	errFormerEra = errors.New("store: answer of a former era")
 )
 
 type (
 	// Store is the part of the platform's store that a Watcher reads.
 	Store interface {
-		// List returns all documents of a kind and the revision of the list.
-		List(ctx context.Context, kind string) ([]replicator.Document, int64, error)
-		// Watch returns the changes of a kind after a revision, and the revision up to which they are complete.
+		// List returns all documents of a kind and the point of the list.
+		List(ctx context.Context, kind string) ([]replicator.Document, replicator.Point, error)
+		// Watch returns the changes of a kind after a revision, and the point up to which they are complete. If that is of
+		// another era than the revision, the changes say nothing.
 		// It waits for a change, but no longer than the given time, and then returns none. The error is
 		// ErrHistoryGone, or ErrChangesTooLarge for an answer of more than maxBytes, if the documents have to be listed.
 		Watch(ctx context.Context, kind string, after int64, wait time.Duration, maxBytes int64) ([]replicator.Document,
-			int64, error)
+			replicator.Point, error)
 	}
 
 	// Replica holds the documents that were read.
 	Replica interface {
-		ApplyList(kind string, documents []replicator.Document, revision int64, confirmedAt time.Time)
-		ApplyChanges(kind string, after int64, documents []replicator.Document, revision int64, confirmedAt time.Time) bool
+		ApplyList(kind string, documents []replicator.Document, at replicator.Point, confirmedAt time.Time)
+		ApplyChanges(kind string, after replicator.Point, documents []replicator.Document, at replicator.Point,
+			confirmedAt time.Time) bool
 		Position(kind string) replicator.Position
 		// Bytes returns the size of the documents of a kind.
 		Bytes(kind string) int64
@@ -121,26 +126,30 @@
 
 // readOnce makes one list call if no list is known yet or the history is gone, or else one watch call.
 func (w *Watcher) readOnce(ctx context.Context) error {
-	after := w.config.Replica.Position(w.config.Kind).Revision
-	if after == 0 {
+	after := w.config.Replica.Position(w.config.Kind).Point()
+	if after.Revision == 0 {
 		return w.list(ctx)
 	}
 	requestedAt, wait := w.config.Clock.Now(), w.wait()
-	documents, revision, err := w.config.Store.Watch(ctx, w.config.Kind, after, wait, w.maxChangesBytes())
+	documents, at, err := w.config.Store.Watch(ctx, w.config.Kind, after.Revision, wait, w.maxChangesBytes())
 	switch {
 	case errors.Is(err, ErrHistoryGone):
-		w.config.Logger.Info("store dropped its history", "kind", w.config.Kind, "after", after)
+		w.config.Logger.Info("store dropped its history", "kind", w.config.Kind, "after", after.Revision, "era", after.Era)
 		w.pauseIfHistoryGoneAgain(ctx)
 		return w.list(ctx)
 	case errors.Is(err, ErrChangesTooLarge):
-		w.config.Logger.Info("changes are too large; documents are listed", "kind", w.config.Kind, "after", after)
+		w.config.Logger.Info("changes are too large; documents are listed", "kind", w.config.Kind, "after", after.Revision)
 		return w.list(ctx)
 	case err != nil:
 		return err
+	case at.Era > after.Era:
+		return w.list(ctx)
+	case at.Era < after.Era:
+		return errors.Wrapf(errFormerEra, "watch %s: era %d after %d", w.config.Kind, at.Era, after.Era)
 	}
 	w.historyGonePause = 0
 	confirmedAt := confirmationTime(requestedAt, w.config.Clock.Now(), wait, len(documents) > 0)
-	w.config.Replica.ApplyChanges(w.config.Kind, after, documents, revision, confirmedAt)
+	w.config.Replica.ApplyChanges(w.config.Kind, after, documents, at, confirmedAt)
 	if len(documents) > 0 {
 		sleeper.Sleep(ctx, w.config.Clock, batchDelay)
 	}
@@ -180,11 +189,19 @@
 
 func (w *Watcher) list(ctx context.Context) error {
 	requestedAt := w.config.Clock.Now()
-	documents, revision, err := w.config.Store.List(ctx, w.config.Kind)
-	if err != nil {
+	before := w.config.Replica.Position(w.config.Kind)
+	documents, at, err := w.config.Store.List(ctx, w.config.Kind)
+	switch {
+	case err != nil:
 		return err
+	case at.Era < before.Era:
+		return errors.Wrapf(errFormerEra, "list %s: era %d after %d", w.config.Kind, at.Era, before.Era)
+	case at.Era > before.Era && before.Revision > 0:
+		w.config.Logger.Warn("store was restored from a copy; documents are compared by content", "kind", w.config.Kind,
+			"era", at.Era, "revision", at.Revision, "former_era", before.Era, "former_revision", before.Revision,
+			"documents", len(documents), "unconfirmed_for", w.config.Clock.Since(before.ConfirmedAt))
 	}
-	w.config.Replica.ApplyList(w.config.Kind, documents, revision, requestedAt)
+	w.config.Replica.ApplyList(w.config.Kind, documents, at, requestedAt)
 	return nil
 }
 
--- a/internal/records/watcher/watcher_test.go
+++ b/internal/records/watcher/watcher_test.go
@@ -26,7 +26,10 @@
 	mutex             sync.Mutex
 	documents         []replicator.Document
 	revision          int64
+	era               int64
 	compactedRevision int64
+	// goneAbove is set if a watch from a revision that the store does not have is answered with ErrHistoryGone.
+	goneAbove bool
 	down              bool
 	// answerDelay is how long an answer to a watch is on its way.
 	answerDelay time.Duration
@@ -38,19 +41,19 @@
 	maxBytes []int64
 }
 
-func (s *store) List(context.Context, string) ([]replicator.Document, int64, error) {
+func (s *store) List(context.Context, string) ([]replicator.Document, replicator.Point, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lists++
 	if s.down {
-		return nil, 0, errDown
+		return nil, replicator.Point{}, errDown
 	}
-	return append([]replicator.Document(nil), s.documents...), s.revision, nil
+	return append([]replicator.Document(nil), s.documents...), replicator.Point{Era: s.era, Revision: s.revision}, nil
 }
 
 func (s *store) Watch(
 	ctx context.Context, _ string, after int64, wait time.Duration, maxBytes int64,
-) ([]replicator.Document, int64, error) {
+) ([]replicator.Document, replicator.Point, error) {
 	documents, revision, err := s.watch(ctx, after, wait)
 	s.mutex.Lock()
 	s.maxBytes = append(s.maxBytes, maxBytes)
@@ -62,7 +65,7 @@
 
 func (s *store) watch(
 	ctx context.Context, after int64, wait time.Duration,
-) ([]replicator.Document, int64, error) {
+) ([]replicator.Document, replicator.Point, error) {
 	for until := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
 		s.mutex.Lock()
 		if after == s.revision && after >= s.compactedRevision && !s.down && time.Now().Before(until) && ctx.Err() == nil {
@@ -73,9 +76,9 @@
 		s.watches++
 		switch {
 		case s.down:
-			return nil, 0, errDown
-		case after < s.compactedRevision:
-			return nil, 0, watcher.ErrHistoryGone
+			return nil, replicator.Point{}, errDown
+		case after < s.compactedRevision || s.goneAbove && after > s.revision:
+			return nil, replicator.Point{}, watcher.ErrHistoryGone
 		}
 		var changes []replicator.Document
 		for _, d := range s.documents {
@@ -84,9 +87,9 @@
 			}
 		}
 		if s.maxChanges > 0 && len(changes) > s.maxChanges {
-			return nil, 0, watcher.ErrChangesTooLarge
+			return nil, replicator.Point{}, watcher.ErrChangesTooLarge
 		}
-		return changes, s.revision, nil
+		return changes, replicator.Point{Era: s.era, Revision: s.revision}, nil
 	}
 }
 
--- a/internal/upstream/enroller/enroller.go
+++ b/internal/upstream/enroller/enroller.go
@@ -5,6 +5,10 @@
 // store was unavailable, it is removed before its drain time, counted from when its entry was last confirmed, has
 // passed, because a leaf that leaves without notice stops serving then. A leaf whose entry is marked as draining gets
 // no new requests.
+//
+// A store that was restored from a copy shows entries as they were some seconds ago, until the leaves have written them
+// again. Until then a leaf stays in the pool, or out of it, as it was known before. Only an entry that says that its leaf
+// is draining takes effect at once.
 package enroller
 
 import (
@@ -48,19 +52,56 @@
 		config Config
 		mutex  sync.Mutex
 		// removals has the pending removal of each leaf whose entry has vanished, by leaf ID.
-		removals map[string]*quartz.Timer
+		removals map[string]removal
+		// returns has the pending use of each restored entry, by leaf ID.
+		returns map[string]*quartz.Timer
+	}
+
+	removal struct {
+		timer *quartz.Timer
+		// restored is set if the entry is missing only because the store was restored from a copy.
+		restored bool
 	}
 )
 
 // New returns an Enroller.
 func New(c Config) *Enroller {
-	return &Enroller{config: c, removals: map[string]*quartz.Timer{}}
+	return &Enroller{config: c, removals: map[string]removal{}, returns: map[string]*quartz.Timer{}}
 }
 
 // Put adds or updates the leaf of an entry that is new, has changed or has come back, and cancels its removal.
 func (e *Enroller) Put(entry balancer.Entry) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	e.put(entry)
+}
+
+// PutRestored adds or updates the leaf of an entry that a restored store has and that is not newer than what was known
+// before. The leaf may be draining or gone, so it is used only once it had the time to write the entry again.
+func (e *Enroller) PutRestored(entry balancer.Entry) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if entry.Draining || e.removals[entry.ID].restored {
+		e.put(entry)
+		return
+	}
+	e.cancelReturn(entry.ID)
+	var timer *quartz.Timer
+	timer = e.config.Clock.AfterFunc(entryReturnTime, func() { e.putReturned(entry, timer) })
+	e.returns[entry.ID] = timer
+	e.config.Logger.Info("leaf entry is older than what was known", "leaf", entry.ID, "used_in", entryReturnTime)
+}
+
+func (e *Enroller) putReturned(entry balancer.Entry, timer *quartz.Timer) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.returns[entry.ID] == timer {
+		e.put(entry)
+	}
+}
+
+func (e *Enroller) put(entry balancer.Entry) {
+	e.cancelReturn(entry.ID)
 	if e.cancelRemoval(entry.ID) {
 		e.config.Logger.Info("leaf is back", "leaf", entry.ID)
 	}
@@ -72,13 +113,27 @@
 func (e *Enroller) ScheduleRemoval(id string, confirmedBefore time.Time) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.cancelRemoval(id)
 	unconfirmedFor := e.config.Clock.Since(confirmedBefore)
 	delay := e.removalDelay(unconfirmedFor)
+	e.schedule(id, delay, false)
+	e.config.Logger.Info("leaf entry vanished", "leaf", id, "removed_in", delay, "unconfirmed_for", unconfirmedFor)
+}
+
+// AwaitReturn schedules the removal of a leaf whose entry a restored store does not have, for when the leaf had the time
+// to write it again.
+func (e *Enroller) AwaitReturn(id string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.schedule(id, entryReturnTime, true)
+	e.config.Logger.Info("leaf entry is missing in a new era of the store", "leaf", id, "removed_in", entryReturnTime)
+}
+
+func (e *Enroller) schedule(id string, delay time.Duration, restored bool) {
+	e.cancelRemoval(id)
+	e.cancelReturn(id)
 	var timer *quartz.Timer
 	timer = e.config.Clock.AfterFunc(delay, func() { e.remove(id, timer) })
-	e.removals[id] = timer
-	e.config.Logger.Info("leaf entry vanished", "leaf", id, "removed_in", delay, "unconfirmed_for", unconfirmedFor)
+	e.removals[id] = removal{timer, restored}
 }
 
 // removalDelay returns how long to keep a leaf whose vanished entry has been unconfirmed for the given time.
@@ -94,6 +149,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.cancelRemoval(id)
+	e.cancelReturn(id)
 	e.config.Logger.Warn("leaf entry is not usable", "leaf", id, "error", reason)
 	e.config.Pool.Remove(id, "entry is not usable")
 }
@@ -101,7 +157,7 @@
 func (e *Enroller) remove(id string, timer *quartz.Timer) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.removals[id] != timer {
+	if e.removals[id].timer != timer {
 		return
 	}
 	delete(e.removals, id)
@@ -110,11 +166,19 @@
 
 // cancelRemoval cancels the pending removal of a leaf. It returns whether there was one.
 func (e *Enroller) cancelRemoval(id string) bool {
-	timer := e.removals[id]
-	if timer == nil {
+	pending, found := e.removals[id]
+	if !found {
 		return false
 	}
-	timer.Stop()
+	pending.timer.Stop()
 	delete(e.removals, id)
 	return true
 }
+
+// cancelReturn cancels the pending use of a restored entry.
+func (e *Enroller) cancelReturn(id string) {
+	if timer := e.returns[id]; timer != nil {
+		timer.Stop()
+		delete(e.returns, id)
+	}
+}
