--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -168,8 +168,10 @@
 	if c.Listen == nil {
 		c.Listen = listenTCP
 	}
-	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{},
-		evacuationEnds: map[string]*quartz.Timer{}, failures: make(chan error, 8)}
+	n := &Node{
+		config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{},
+		evacuationEnds: map[string]*quartz.Timer{}, failures: make(chan error, 8),
+	}
 	n.setSettings(c.ReloadableSettings, defaultSettings())
 	n.elector = elector.New(elector.Config{
 		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
--- a/internal/records/replicator/era_test.go
+++ b/internal/records/replicator/era_test.go
@@ -198,4 +198,3 @@
 		}
 	})
 }
-
--- a/internal/records/watcher/watcher_test.go
+++ b/internal/records/watcher/watcher_test.go
@@ -30,7 +30,7 @@
 	compactedRevision int64
 	// goneAbove is set if a watch from a revision that the store does not have is answered with ErrHistoryGone.
 	goneAbove bool
-	down              bool
+	down      bool
 	// answerDelay is how long an answer to a watch is on its way.
 	answerDelay time.Duration
 	// maxChanges is how many changes an answer to a watch may hold; 0 is no limit.
