--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -46,7 +46,9 @@
 	c := n.config
 	n.patcher = patcher.New()
 	n.activator = activator.New(activator.Config{Activate: n.tryConfiguration, Clock: c.Clock})
-	n.replicator = replicator.New(replicator.Config{Clock: c.Clock, OnChange: n.documentChanged, OnRenumber: n.patcher.Record})
+	n.replicator = replicator.New(replicator.Config{
+		Clock: c.Clock, OnChange: n.documentChanged, OnRenumber: n.patcher.Record,
+	})
 	kinds := []string{c.Kinds.Configuration, c.Kinds.Leaves, c.Kinds.Evacuations}
 	n.gossiper = gossiper.New(gossiper.Config{
 		Kinds: kinds, PeerAddress: c.PeerAddress, Messenger: n.messenger, Replica: n.replicator,
--- a/internal/node/forwarder/registration.go
+++ b/internal/node/forwarder/registration.go
@@ -18,7 +18,7 @@
 )
 
 // register writes this node's address into the store once it serves callers, so that nodes which start later find a
-// live node when all seeds are gone. It does so again in each new era of the store, whose copy may not have the address.
+// live node when all seeds are gone. It does so again in each new era of the store, whose copy may lack the address.
 func (n *Node) register(ctx context.Context) {
 	data, err := json.Marshal(nodeRecord{PeerAddress: n.config.PeerAddress})
 	if err != nil {
--- a/internal/records/gossiper/era_test.go
+++ b/internal/records/gossiper/era_test.go
@@ -19,8 +19,8 @@
 	}
 }
 
-// Guards against nodes that do not read the store and stay for good with what it held before it was restored from a copy:
-// the revisions of the new era are smaller than theirs, or the same with other content.
+// Guards against nodes that do not read the store and stay for good with what it held before it was restored from a
+// copy: the revisions of the new era are smaller than theirs, or the same with other content.
 func TestNewEraReachesAllNodes(t *testing.T) {
 	for name, revision := range map[string]int64{"smaller revision": 6, "same revision": 50} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/records/replicator/era_test.go
+++ b/internal/records/replicator/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -84,8 +85,8 @@
 func TestNodeOfFormerEraGetsAllDocuments(t *testing.T) {
 	is := is.New(t)
 	r := replicator.New(replicator.Config{Clock: quartz.NewMock(t), OnChange: func(replicator.Document, time.Time) {}})
-	r.ApplyList(kind, []replicator.Document{content("a", "x", 3), content("b", "x", 14)}, replicator.Point{Era: 4, Revision: 14},
-		time.Time{})
+	r.ApplyList(kind, []replicator.Document{content("a", "x", 3), content("b", "x", 14)},
+		replicator.Point{Era: 4, Revision: 14}, time.Time{})
 	documents, _, whole := r.ChangesSince(kind, replicator.Point{Era: 3, Revision: 14})
 	is.True(whole)
 	is.Equal(len(documents), 2)
@@ -100,7 +101,7 @@
 }
 
 func (s *drillStore) clone() *drillStore {
-	return &drillStore{at: s.at, documents: maps.Clone(s.documents), changes: append([]replicator.Document(nil), s.changes...)}
+	return &drillStore{at: s.at, documents: maps.Clone(s.documents), changes: slices.Clone(s.changes)}
 }
 
 // write changes or deletes a document. Equal contents come again.
@@ -131,22 +132,45 @@
 	return list
 }
 
-// Guards against replicas that differ from the store for good after it was restored: whatever the order of drills, lists,
-// changes and pulls, a replica at the store's point must hold the store's contents, and have reported them.
+// changesAfter returns the changes after a revision of the store's era.
+func (s *drillStore) changesAfter(revision int64) []replicator.Document {
+	var changes []replicator.Document
+	for _, d := range s.changes {
+		if d.Revision > revision {
+			changes = append(changes, d)
+		}
+	}
+	return changes
+}
+
+// contents returns the contents of documents by name.
+func contents(documents []replicator.Document) map[string]string {
+	byName := map[string]string{}
+	for _, d := range documents {
+		byName[d.Name] = string(d.Data)
+	}
+	return byName
+}
+
+// reportingReplica returns a replica and what it has reported, by name.
+func reportingReplica() (*replicator.Replicator, map[string]string) {
+	reported := map[string]string{}
+	return replicator.New(replicator.Config{Clock: quartz.NewReal(), OnChange: func(d replicator.Document, _ time.Time) {
+		if d.Deleted {
+			delete(reported, d.Name)
+		} else {
+			reported[d.Name] = string(d.Data)
+		}
+	}}), reported
+}
+
+// Guards against replicas that differ from the store for good after it was restored: whatever the order of drills,
+// lists, changes and pulls, a replica at the store's point must hold the store's contents, and have reported them.
 func TestReplicatorsAgreeWithRestoredStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		clock := quartz.NewReal()
-		reported := make([]map[string]string, 2)
-		replicas := make([]*replicator.Replicator, 2)
+		replicas, reported := make([]*replicator.Replicator, 2), make([]map[string]string, 2)
 		for i := range replicas {
-			reported[i] = map[string]string{}
-			replicas[i] = replicator.New(replicator.Config{Clock: clock, OnChange: func(d replicator.Document, _ time.Time) {
-				if d.Deleted {
-					delete(reported[i], d.Name)
-				} else {
-					reported[i][d.Name] = string(d.Data)
-				}
-			}})
+			replicas[i], reported[i] = reportingReplica()
 		}
 		s := &drillStore{at: replicator.Point{Era: 1, Revision: 1}, documents: map[string]replicator.Document{}}
 		s.copied = s.clone()
@@ -164,36 +188,21 @@
 			case 5:
 				s.restore()
 			case 6:
-				r.ApplyList(kind, s.list(), s.at, clock.Now())
+				r.ApplyList(kind, s.list(), s.at, time.Now())
 			case 7:
-				if after := r.Position(kind).Point(); after.Era == s.at.Era && after.Revision <= s.at.Revision {
-					var changes []replicator.Document
-					for _, d := range s.changes {
-						if d.Revision > after.Revision {
-							changes = append(changes, d)
-						}
-					}
-					r.ApplyChanges(kind, after, changes, s.at, clock.Now())
+				if after := r.Position(kind).Point(); after.Era == s.at.Era {
+					r.ApplyChanges(kind, after, s.changesAfter(after.Revision), s.at, time.Now())
 				}
 			case 8:
 				pull(replicas[i], replicas[1-i])
 			case 9: // an answer that was under way for a while
-				r.ApplyList(kind, late.list(), late.at, clock.Now())
+				r.ApplyList(kind, late.list(), late.at, time.Now())
 				late = s.clone()
 			}
-			if r.Position(kind).Point() != s.at {
-				continue
-			}
-			want := map[string]string{}
-			for n, d := range s.documents {
-				want[n] = string(d.Data)
-			}
-			held := map[string]string{}
-			for _, d := range r.Documents(kind) {
-				held[d.Name] = string(d.Data)
-			}
-			if !maps.Equal(held, want) || !maps.Equal(reported[i], want) {
-				t.Fatalf("replica holds %v and reported %v, store holds %v at %v", held, reported[i], want, s.at)
+			want := contents(s.list())
+			if r.Position(kind).Point() == s.at &&
+				(!maps.Equal(contents(r.Documents(kind)), want) || !maps.Equal(reported[i], want)) {
+				t.Fatalf("replica holds %v and reported %v, store holds %v at %v", r.Documents(kind), reported[i], want, s.at)
 			}
 		}
 	})
--- a/internal/records/replicator/replicator_test.go
+++ b/internal/records/replicator/replicator_test.go
@@ -98,7 +98,8 @@
 				r.ApplyList(kind, list, at(revision), clock.Now())
 			case 1:
 				if after := r.Position(kind).Point(); after.Revision > 0 {
-					r.ApplyChanges(kind, after, append([]replicator.Document(nil), changeLog[after.Revision:]...), at(revision), clock.Now())
+					changes := append([]replicator.Document(nil), changeLog[after.Revision:]...)
+					r.ApplyChanges(kind, after, changes, at(revision), clock.Now())
 				}
 			case 2:
 				pull(replicas[0], replicas[1])
--- a/internal/upstream/enroller/enroller.go
+++ b/internal/upstream/enroller/enroller.go
@@ -7,8 +7,8 @@
 // no new requests.
 //
 // A store that was restored from a copy shows entries as they were some seconds ago, until the leaves have written them
-// again. Until then a leaf stays in the pool, or out of it, as it was known before. Only an entry that says that its leaf
-// is draining takes effect at once.
+// again. Until then a leaf stays in the pool, or out of it, as it was known before. Only an entry that says that its
+// leaf is draining takes effect at once.
 package enroller
 
 import (
@@ -119,8 +119,8 @@
 	e.config.Logger.Info("leaf entry vanished", "leaf", id, "removed_in", delay, "unconfirmed_for", unconfirmedFor)
 }
 
-// AwaitReturn schedules the removal of a leaf whose entry a restored store does not have, for when the leaf had the time
-// to write it again.
+// AwaitReturn schedules the removal of a leaf whose entry a restored store does not have, for when the leaf had the
+// time to write it again.
 func (e *Enroller) AwaitReturn(id string) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
