Leaf client: what is no answer by the protocol is a failed call that may have run

101 that nobody asked for, 600 to 999 and HTTP/0.9, 2.0 and 9.9 on the status line were passed on as answers; with the leaf's not-run field they even became a 503 that promises that the request has not run. Now they are malformed as 000 is: the connection is closed, another leaf may answer, the caller gets 502 otherwise.

--- a/internal/upstream/exchanger/exchange.go
+++ b/internal/upstream/exchanger/exchange.go
@@ -25,6 +25,8 @@
 	maxHeadBytes = 64 << 10
 	// maxInformationalAnswers is how many informational answers may come before the answer.
 	maxInformationalAnswers = 8
+	// maxStatus is the highest status that the protocol has a class for.
+	maxStatus = 599
 	// maxFramingFactor bounds what is read of a body, framing and trailer included, as a multiple of the largest body.
 	maxFramingFactor = 2
 	// smallBodyBytes is the largest body of an answer for which no memory is reserved, and the largest body of a request
@@ -144,16 +146,23 @@
 			return nil, errors.Wrap(c.readError(err), "read response head")
 		}
 		switch {
-		case response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols:
+		case !isAnswer(response):
+			// What follows may be its body.
+			return nil, errors.Wrapf(errMalformed, "%s %d", response.Proto, response.StatusCode)
+		case response.StatusCode >= http.StatusOK:
 			return response, nil
-		case response.StatusCode < http.StatusContinue:
-			// It is no informational answer, so what follows may be its body.
-			return nil, errors.Wrapf(errMalformed, "status %d", response.StatusCode)
 		}
 	}
 	return nil, errors.Wrap(readlimiter.ErrLimit, "too many informational answers")
 }
 
+// isAnswer reports whether a head is that of an answer by HTTP/1, final or informational. A switch of protocols is none:
+// no request asks for it.
+func isAnswer(r *http.Response) bool {
+	return r.ProtoMajor == 1 && r.StatusCode >= http.StatusContinue && r.StatusCode <= maxStatus &&
+		r.StatusCode != http.StatusSwitchingProtocols
+}
+
 // readError marks an error of reading an answer that does not come from the connection or its end but from the bytes
 // that have arrived.
 func (c *connection) readError(err error) error {
