--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -176,9 +176,13 @@
 // unusedEraReporter returns a function that counts answers of the store whose era can't be used, and logs the first for
 // each reason.
 func unusedEraReporter(set *metrics.Set, logger *slog.Logger) func(reason string) {
+	name := func(reason string) string { return `stepfront_store_eras_unused_total{reason="` + reason + `"}` }
+	for _, reason := range []string{platform.EraMissing, platform.EraNoNumber, platform.EraWentBack} {
+		set.NewCounter(name(reason))
+	}
 	var logged sync.Map
 	return func(reason string) {
-		set.GetOrCreateCounter(`stepfront_store_eras_unused_total{reason="` + reason + `"}`).Inc()
+		set.GetOrCreateCounter(name(reason)).Inc()
 		if _, repeated := logged.LoadOrStore(reason, true); !repeated {
 			logger.Warn("answer of the store states no usable era; the era counts as unchanged", "reason", reason)
 		}
--- a/internal/node/forwarder/metrics.go
+++ b/internal/node/forwarder/metrics.go
@@ -24,6 +24,7 @@
 			position := n.replicator.Position(n.config.Kinds.Configuration)
 			return n.config.Clock.Since(position.ConfirmedAt).Seconds()
 		},
+		"stepfront_store_era":     func() float64 { return float64(n.storeEra()) },
 		"stepfront_serving_nodes": func() float64 { return float64(n.servingNodes()) },
 		"stepfront_in_progress":   func() float64 { return float64(n.server.InProgress()) },
 		"stepfront_leaves_left_alone": func() float64 {
--- a/internal/records/replicator/replicator.go
+++ b/internal/records/replicator/replicator.go
@@ -6,8 +6,8 @@
 // which of them has newer documents.
 //
 // A store that was restored from a copy gives out revisions again. It says so by a new era, and points are ordered by
-// era before revision. The first list of a new era is compared with the known documents by content, because their revisions
-// say nothing there.
+// era before revision. The first list of a new era is compared with the known documents by content, because their
+// revisions say nothing there.
 package replicator
 
 import (
--- a/internal/upstream/exchanger/exchange.go
+++ b/internal/upstream/exchanger/exchange.go
@@ -156,8 +156,8 @@
 	return nil, errors.Wrap(readlimiter.ErrLimit, "too many informational answers")
 }
 
-// isAnswer reports whether a head is that of an answer by HTTP/1, final or informational. A switch of protocols is none:
-// no request asks for it.
+// isAnswer reports whether a head is that of an answer by HTTP/1, final or informational. A switch of protocols is
+// none: no request asks for it.
 func isAnswer(r *http.Response) bool {
 	return r.ProtoMajor == 1 && r.StatusCode >= http.StatusContinue && r.StatusCode <= maxStatus &&
 		r.StatusCode != http.StatusSwitchingProtocols
--- a/internal/upstream/exchanger/no_answer_test.go
+++ b/internal/upstream/exchanger/no_answer_test.go
@@ -10,9 +10,9 @@
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
 )
 
-// Guards against bytes that are no answer by the protocol and reach the caller as one, or that a leaf may use to promise
-// that the request has not run: a status outside of 200 to 599, a switch of protocols that nobody asked for, another
-// major version. The connection must not be used again.
+// Guards against bytes that are no answer by the protocol and reach the caller as one, or count as a promise that the
+// request has not run: a status outside of 200 to 599, a switch of protocols that nobody asked for, another major
+// version. The connection must not be used again.
 func TestWhatIsNoAnswerIsAFailedCall(t *testing.T) {
 	for _, line := range []string{
 		"HTTP/1.1 000 Zero", "HTTP/1.1 001 One", "HTTP/1.1 099 Low", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
