--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -75,7 +75,7 @@
 		Address: s.StoreAddress, Clock: clock, OnCall: func(call, result string) {
 			set.GetOrCreateCounter(`stepfront_store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
 		},
-		OnUnreadable: unreadableReporter(set, logger),
+		OnUnreadable: unreadableReporter(set, logger), OnUnusedEra: unusedEraReporter(set, logger),
 	})
 	node := nodeConfig(s)
 	node.ZoneTrafficCost = v.ZoneTrafficCost
@@ -181,6 +181,22 @@
 	}
 }
 
+// unusedEraReporter returns a function that counts answers of the store whose era can't be used, and logs the first for
+// each reason.
+func unusedEraReporter(set *metrics.Set, logger *slog.Logger) func(reason string) {
+	name := func(reason string) string { return `stepfront_store_eras_unused_total{reason="` + reason + `"}` }
+	for _, reason := range []string{platform.EraMissing, platform.EraNoNumber, platform.EraWentBack} {
+		set.NewCounter(name(reason))
+	}
+	var logged sync.Map
+	return func(reason string) {
+		set.GetOrCreateCounter(name(reason)).Inc()
+		if _, repeated := logged.LoadOrStore(reason, true); !repeated {
+			logger.Warn("answer of the store states no usable era; the era counts as unchanged", "reason", reason)
+		}
+	}
+}
+
 // nodeConfig returns what the settings say of a node.
 func nodeConfig(s platform.Settings) forwarder.Config {
 	return forwarder.Config{
