--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -72,7 +72,7 @@
 		OnUnreadable: unreadableReporter(set, logger),
 	})
 	node := nodeConfig(s)
-	node.Store, node.Clock, node.Logger, node.Metrics = store, clock, logger, set
+	node.Store, node.RolloutStore, node.Clock, node.Logger, node.Metrics = store, store, clock, logger, set
 	n := forwarder.New(node)
 	stopContext, beginStop := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer beginStop(nil)
@@ -160,7 +160,7 @@
 // kind.
 func unreadableReporter(set *metrics.Set, logger *slog.Logger) func(kind string, objects int) {
 	name := func(kind string) string { return `stepfront_store_objects_unreadable_total{kind="` + kind + `"}` }
-	for _, kind := range []string{platform.KindConfiguration, platform.KindLeaves, platform.KindEvacuations} {
+	for _, kind := range []string{platform.KindConfiguration, platform.KindLeaves, platform.KindEvacuations, platform.KindRollouts} {
 		set.NewCounter(name(kind))
 	}
 	var logged sync.Map
@@ -184,9 +184,10 @@
 		Decoder:            platform.Decoder{},
 		Kinds: forwarder.Kinds{
 			Configuration: platform.KindConfiguration, Leaves: platform.KindLeaves,
-			Evacuations: platform.KindEvacuations, Nodes: platform.KindNodes,
+			Evacuations: platform.KindEvacuations, Nodes: platform.KindNodes, Rollouts: platform.KindRollouts,
 		},
-		HeaderNames: platform.HeaderNames(),
+		DecodeRollout: platform.DecodeRollout,
+		HeaderNames:   platform.HeaderNames(),
 		DirectoryHandler: func(n *selector.Selector, ready func() bool) http.Handler {
 			return platform.DirectoryHandler(n, ready)
 		},
--- a/internal/forward/gatherer/calling.go
+++ b/internal/forward/gatherer/calling.go
@@ -48,6 +48,12 @@
 		late := float64(now.Sub(sentAt)) > lateShare*float64(n.request.Route.TargetLatency)
 		leaf.Exchanger().AdjustConcurrency(sentAt, now, late)
 	}
+	if n.gatherer.config.OnCall != nil && !sentAt.IsZero() {
+		n.gatherer.config.OnCall(Call{
+			Route: n.request.Route.Name, Leaf: leaf, Outcome: outcome, Took: took, Typical: n.typicalLatency,
+			NoConnection: errors.Is(err, exchanger.ErrNotSent),
+		})
+	}
 	queued := now.Sub(startedAt) - took
 	n.report(event{
 		shard: shardIndex, attempt: attemptIndex, reply: reply, err: err, took: now.Sub(startedAt), queued: queued,
--- a/internal/forward/gatherer/gatherer.go
+++ b/internal/forward/gatherer/gatherer.go
@@ -16,6 +16,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/forward/matcher"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/exchanger"
+	"github.com/magnoliastep/magnoliastep/internal/upstream/scorer"
 )
 
 const (
@@ -61,11 +62,26 @@
 		Nodes func() int
 		// Misdirected, if not nil, is called with a leaf when another process has answered at its address.
 		Misdirected func(leaf *balancer.Leaf)
+		// OnCall, if not nil, is called at the end of each call that was sent.
+		OnCall func(Call)
 		// OnPanic, if not nil, is called when a call has panicked, on its goroutine, with the request's ID and the value of
 		// the panic.
 		OnPanic func(requestID string, leaf *balancer.Leaf, value any)
 	}
 
+	// Call is the end of a call that was sent to a leaf.
+	Call struct {
+		Route   string
+		Leaf    *balancer.Leaf
+		Outcome scorer.Outcome
+		// Took is the time since the call was sent.
+		Took time.Duration
+		// Typical is the usual latency of calls of the route.
+		Typical time.Duration
+		// NoConnection is set if the call failed because there was no connection to the leaf.
+		NoConnection bool
+	}
+
 	// Request is one request of a caller.
 	Request struct {
 		Route *matcher.Route
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -66,6 +66,8 @@
 	case *pb.Frame_DocumentPull:
 		answer := n.gossiper.HandlePull(body.DocumentPull)
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_Documents{Documents: answer}})
+	case *pb.Frame_RolloutReport:
+		n.handleRolloutReport(f, body.RolloutReport, reply)
 	default:
 		n.config.Logger.Warn("frame type is not known", "from", f.GetFrom())
 	}
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -34,6 +34,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/patcher"
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
+	"github.com/magnoliastep/magnoliastep/internal/rollout/conductor"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/enroller"
 	"github.com/magnoliastep/magnoliastep/internal/view/linker"
@@ -68,6 +69,8 @@
 	// Kinds are the names of the kinds of documents in the store.
 	Kinds struct {
 		Configuration, Leaves, Evacuations, Nodes string
+		// Rollouts may be empty: software versions aren't rolled out then.
+		Rollouts string
 	}
 
 	// ReloadableSettings are the settings that may change while a node runs.
@@ -106,7 +109,11 @@
 		Store              Store
 		Decoder            Decoder
 		Kinds              Kinds
-		HeaderNames        server.HeaderNames
+		// RolloutStore and DecodeRollout must be set with Kinds.Rollouts. DecodeRollout decodes an order to roll out a
+		// version of a service's software.
+		RolloutStore  conductor.Store
+		DecodeRollout func(d replicator.Document) (conductor.Order, error)
+		HeaderNames   server.HeaderNames
 		// DirectoryHandler answers callers that ask where to connect, and ReadinessHandler answers the platform.
 		DirectoryHandler func(n *selector.Selector, ready func() bool) http.Handler
 		ReadinessHandler func(ready func() bool) http.Handler
@@ -145,6 +152,10 @@
 		// answerMemory and bodyMemory bound the large answers of leaves and the large bodies of requests that are held.
 		answerMemory, bodyMemory *reserver.Reserver
 		selector                 *selector.Selector
+		// conductor conducts roll-outs; nil if Kinds.Rollouts is empty.
+		conductor *conductor.Conductor
+		// unusableRollouts has the orders that can't be used, by service.
+		unusableRollouts sync.Map
 		// callerListener accepts the connections of callers; nil until it has been opened.
 		callerListener atomic.Pointer[net.Listener]
 		mutex          sync.Mutex
@@ -178,6 +189,7 @@
 	n.assembleMemory()
 	n.assembleFleet()
 	n.assembleLeaves()
+	n.assembleRollouts()
 	n.assembleRecords()
 	n.server = server.New(server.Config{
 		Gatherer: n.gatherer, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load, ConfigCurrent: n.configurationCurrent,
@@ -238,6 +250,7 @@
 		Misdirected: func(l *balancer.Leaf) {
 			c.Logger.Info("leaf answered for another", "leaf", l.Entry().ID, "address", l.Entry().Address)
 		},
+		OnCall: n.observeCall,
 		OnPanic: func(requestID string, l *balancer.Leaf, value any) {
 			n.isolator.Report(workCall, value, "request_id", requestID, "leaf", l.Entry().ID)
 		},
@@ -297,6 +310,9 @@
 	for _, w := range n.watchers {
 		n.startLoop(ctx, w.Run)
 	}
+	if n.conductor != nil {
+		n.startLoop(ctx, n.conductor.Run)
+	}
 	for _, run := range []func(context.Context){n.activator.Run, n.gossiper.Run, n.join, n.observeProcessorTime} {
 		n.startLoop(ctx, run)
 	}
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -27,6 +27,8 @@
 	watchWait = time.Second
 	// evacuationWait is how long one watch of evacuations waits. It is longer because evacuations may take more time.
 	evacuationWait = 2500 * time.Millisecond
+	// rolloutWait is how long one watch of roll-outs waits. They last a minute or more.
+	rolloutWait = 5 * time.Second
 	// discoveryPeriod is the time between two searches in the store for other nodes while none is known.
 	discoveryPeriod = 2 * time.Second
 	// registerDelay is the time before each attempt to register this node in the store. The view is complete by the first.
@@ -51,6 +53,9 @@
 	n.activator = activator.New(activator.Config{Activate: n.tryConfiguration, Clock: c.Clock})
 	n.replicator = replicator.New(replicator.Config{Clock: c.Clock, OnChange: n.documentChanged})
 	kinds := []string{c.Kinds.Configuration, c.Kinds.Leaves, c.Kinds.Evacuations}
+	if c.Kinds.Rollouts != "" {
+		kinds = append(kinds, c.Kinds.Rollouts)
+	}
 	n.gossiper = gossiper.New(gossiper.Config{
 		Kinds: kinds, PeerAddress: c.PeerAddress, Messenger: n.messenger, Replica: n.replicator,
 		Patcher: n.patcher, Peers: n.linkedPeers,
@@ -64,8 +69,11 @@
 	})
 	for _, k := range kinds {
 		wait := watchWait
-		if k == c.Kinds.Evacuations {
+		switch k {
+		case c.Kinds.Evacuations:
 			wait = evacuationWait
+		case c.Kinds.Rollouts:
+			wait = rolloutWait
 		}
 		n.watchers = append(n.watchers, watcher.New(watcher.Config{
 			Kind: k, Store: c.Store, Replica: &announcingReplica{Replicator: n.replicator, announce: n.gossiper.Announce},
@@ -135,6 +143,8 @@
 		n.leafChanged(d, confirmedBefore)
 	case n.config.Kinds.Evacuations:
 		n.evacuationChanged(d)
+	case n.config.Kinds.Rollouts:
+		n.rolloutChanged(d)
 	}
 }
 
@@ -241,6 +251,7 @@
 			return
 		}
 	}
+	n.awaitRollouts(ctx)
 	n.ready.Store(true)
 	n.config.Logger.Info("node is ready", "after", n.config.Clock.Since(n.startedAt))
 	n.startLoop(ctx, n.register)
--- a/internal/upstream/balancer/balancer.go
+++ b/internal/upstream/balancer/balancer.go
@@ -60,6 +60,8 @@
 		WarmUpLeft time.Duration
 		// Incarnation changes with each start of the leaf's process.
 		Incarnation int64
+		// Version is the version of the leaf's software; "" if it states none.
+		Version string
 	}
 
 	// Service has the limits that the configuration declares for the leaves of a service.
@@ -116,6 +118,8 @@
 		// oldest first, at most maxDeparted.
 		departed  []process
 		liveNodes int
+		// splits has the split of each service whose software version is being rolled out.
+		splits map[string]Split
 	}
 
 	// process identifies one start of a leaf's process.
@@ -130,7 +134,7 @@
 	return &Balancer{
 		config: c, leaves: map[string]*Leaf{}, leavesByService: map[string]map[string]*Leaf{},
 		usable: map[string][]*Leaf{}, serviceLimits: map[string]Service{},
-		evacuatedZones: map[string]bool{}, liveNodes: 1,
+		evacuatedZones: map[string]bool{}, liveNodes: 1, splits: map[string]Split{},
 	}
 }
 
@@ -280,8 +284,18 @@
 	time.Duration,
 ) {
 	b.mutex.Lock()
-	leaves, limits := b.usable[service], b.serviceLimits[service]
+	leaves, limits, split := b.usable[service], b.serviceLimits[service], b.splits[service]
 	b.mutex.Unlock()
+	if split != nil {
+		return b.pickSplit(leaves, limits, split, typicalLatency, tried, now)
+	}
+	return b.pickFrom(leaves, limits, typicalLatency, tried, now)
+}
+
+// pickFrom picks among the leaves that are given.
+func (b *Balancer) pickFrom(leaves []*Leaf, limits Service, typicalLatency time.Duration, tried func(*Leaf) bool,
+	now time.Time,
+) (*Leaf, time.Duration) {
 	var best *Leaf
 	var lowest time.Duration
 	for _, l := range leaves {
@@ -360,7 +374,8 @@
 func (b *Balancer) updateUsableLocked(service string) {
 	var leaves []*Leaf
 	for _, l := range b.leavesByService[service] {
-		usable := !l.entry.Draining && !l.exchanger.Leaving() && !b.evacuatedZones[l.entry.Zone]
+		usable := !l.entry.Draining && !l.exchanger.Leaving() && !b.evacuatedZones[l.entry.Zone] &&
+			!b.excludedLocked(l.entry)
 		l.exchanger.SetCallable(usable)
 		if usable {
 			leaves = append(leaves, l)
