--- a/internal/rollout/judge/judge.go
+++ b/internal/rollout/judge/judge.go
@@ -303,7 +303,8 @@
 	return Buckets - 1
 }
 
-// badShare returns the share of failures and slow answers, or 0 if there are too few answers.
+// badShare returns the share of failures and slow answers with its standard error, because few answers of the other
+// versions may stand for many of the new one; 0 if there are too few answers.
 func (w *window) badShare(slowFrom int, now time.Time) float64 {
 	w.decay(now)
 	bad, total := w.failures, w.failures+w.successes()
@@ -313,5 +314,6 @@
 	for i := slowFrom; i < Buckets; i++ {
 		bad += w.latencies[i]
 	}
-	return bad / total
+	share := bad / total
+	return min(share+math.Sqrt(share*(1-share)/total), 1)
 }
