--- a/internal/rollout/conductor/conductor.go
+++ b/internal/rollout/conductor/conductor.go
@@ -177,6 +177,7 @@
 	c.end(r)
 	delete(c.rollouts, service)
 	c.config.Leaves.SetSplit(service, nil)
+	c.config.Metrics.UnregisterMetric(shareGauge(service))
 }
 
 // Active reports whether answers are to be passed to Observe.
@@ -246,10 +247,11 @@
 			break
 		}
 		c.departOthers(r)
-		r.splitter.SetShare(1, false)
+		c.setShare(r, 1, false)
 		c.config.Leaves.SetSplit(r.order.Service, r.departed())
 	case StateReverted:
 		r.splitter.Stop()
+		c.setShare(r, 0, false)
 		c.config.Leaves.SetSplit(r.order.Service, r.splitter)
 	}
 	c.config.Logger.Info("roll-out state", "service", r.order.Service, "version", r.order.TargetVersion, "state", s,
--- a/internal/rollout/conductor/conductor_test.go
+++ b/internal/rollout/conductor/conductor_test.go
@@ -1,6 +1,7 @@
 package conductor_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -243,3 +244,45 @@
 	is.True(f.total > 50)
 	is.Equal(f.exposed, 0)
 }
+
+// Two nodes may both believe that they decide while their views differ. Each decision must be written once, and what is
+// in the store must hold for both.
+func TestConductorWritesEachDecisionOnceWithTwoLeaders(t *testing.T) {
+	for _, bad := range []bool{false, true} {
+		is := is.New(t)
+		f := newFleet(t, 5)
+		f.worse = func(time.Duration, string) bool { return bad && f.random.Float64() < 0.4 }
+		for _, n := range f.nodes {
+			if n != f.leader() {
+				n.claims.Store(true)
+				break
+			}
+		}
+		f.order(orderOf(newVersion))
+		f.run(duration, 100)
+		is.Equal(len(f.store.writes), 2)
+		is.True(f.state() == conductor.StateCompleted || bad)
+		is.True(f.state() == conductor.StateReverted || !bad)
+	}
+}
+
+// Reports would be large if they repeated what the nodes that decide have been told, and counts would be lost if a node
+// that has started again were not told them again.
+func TestConductorReportsNewCountsOnlyAndAllAfterRestart(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 5)
+	f.order(orderOf(newVersion))
+	f.run(5*time.Second, 100)
+	reporter := f.nodes[0]
+	if reporter == f.leader() {
+		reporter = f.nodes[1]
+	}
+	f.run(time.Second, 0)
+	is.Equal(reporter.reportedCounts.Load(), int64(0))
+	reporter.toldAgain.Store(false)
+	i := slices.Index(f.nodes, f.leader())
+	f.nodes[i] = f.newNode(f.nodes[i].name)
+	f.deliver()
+	f.run(750*time.Millisecond, 0)
+	is.True(reporter.toldAgain.Load())
+}
--- a/internal/rollout/conductor/deciding.go
+++ b/internal/rollout/conductor/deciding.go
@@ -104,6 +104,7 @@
 		return
 	}
 	c.count("stop")
+	c.setShare(r, 0, false)
 	c.config.Leaves.SetSplit(r.order.Service, r.splitter)
 	c.config.Logger.Warn("roll-out stopped", append([]any{
 		"service", r.order.Service, "version", r.order.TargetVersion, "reason", reason, "age", r.age(now),
@@ -156,7 +157,12 @@
 
 func (c *Conductor) setShare(r *rollout, share float64, sealed bool) {
 	r.splitter.SetShare(share, sealed)
-	c.config.Metrics.GetOrCreateGauge("stepfront_rollout_share{service="+strconv.Quote(r.order.Service)+"}", nil).Set(share)
+	c.config.Metrics.GetOrCreateGauge(shareGauge(r.order.Service), nil).Set(share)
+}
+
+// shareGauge returns the name of the gauge of the share of a service's new version.
+func shareGauge(service string) string {
+	return "stepfront_rollout_share{service=" + strconv.Quote(service) + "}"
 }
 
 // write writes the status that is due, if any.
--- a/internal/rollout/conductor/exchange.go
+++ b/internal/rollout/conductor/exchange.go
@@ -40,24 +40,24 @@
 	return &pb.RolloutReply{
 		Order: r.id, Age: durationpb.New(r.age(now)), AgeObserved: r.ageObserved,
 		Stopped: r.stopReason != "" || r.order.State == StateReverted, Share: r.plan.Share, Sealed: r.plan.Sealed,
+		Epoch: c.epoch,
 	}
 }
 
-// report returns what this node reports of a roll-out.
-func (c *Conductor) report(r *rollout, now time.Time) *pb.RolloutReport {
+// report returns what this node reports of a roll-out to a node.
+func (c *Conductor) report(r *rollout, to string, now time.Time) *pb.RolloutReport {
 	return &pb.RolloutReport{
 		Service: r.order.Service, Order: r.id, Age: durationpb.New(r.age(now)), AgeObserved: r.ageObserved, Epoch: c.epoch,
-		Counts: r.encode(), Stopped: r.stopReason != "", Moved: r.movedTicks >= minMovedTicks,
+		Counts: r.encode(to), Stopped: r.stopReason != "", Moved: r.movedTicks >= minMovedTicks,
 	}
 }
 
 // sendReport takes this node's own report and sends it to the nodes that decide.
 func (c *Conductor) sendReport(ctx context.Context, r *rollout, leading []*pb.Member, now time.Time) {
-	m := c.report(r, now)
-	r.merge(c.config.NodeName, m, now)
+	r.merge(c.config.NodeName, c.report(r, c.config.NodeName, now), now)
 	for _, to := range leading {
 		if to.GetName() != c.config.NodeName {
-			go c.exchange(ctx, to, m)
+			go c.exchange(ctx, to, c.report(r, to.GetName(), now))
 		}
 	}
 }
@@ -82,6 +82,7 @@
 	if r == nil || r.id != m.GetOrder() || a.GetOrder() != r.id {
 		return
 	}
+	r.acknowledge(from, a.GetEpoch(), m.GetCounts())
 	r.adoptAge(a.GetAge().AsDuration(), a.GetAgeObserved(), now)
 	r.advice[from] = advice{at: now, share: a.GetShare(), sealed: a.GetSealed()}
 	if a.GetStopped() {
--- a/internal/rollout/conductor/fleet_test.go
+++ b/internal/rollout/conductor/fleet_test.go
@@ -59,6 +59,12 @@
 		// dead nodes don't run, frozen ones neither but stay in the view, and cut ones exchange nothing with
 		// others.
 		dead, frozen, cut atomic.Bool
+		// claims is set while the node believes that it decides.
+		claims atomic.Bool
+		// reportedCounts is the number of counts in the last report of the node. toldAgain is set once a report has had
+		// counts although nothing was counted.
+		reportedCounts atomic.Int64
+		toldAgain      atomic.Bool
 	}
 
 	// store holds one order. The nodes learn of its changes when deliver is called.
@@ -200,13 +206,21 @@
 }
 
 func (n *node) Leading(key string, count int) []*pb.Member {
-	return ranker.New(n.Members()).Leading(ranker.Key{Name: key}, count)
+	leading := ranker.New(n.Members()).Leading(ranker.Key{Name: key}, count)
+	if n.claims.Load() {
+		leading[0] = &pb.Member{Name: n.name, PeerAddress: n.name}
+	}
+	return leading
 }
 
 func (n *node) Known() bool { return true }
 
 // Call carries a report to the node of an address.
 func (n *node) Call(_ context.Context, address string, _ messenger.Plane, frame *pb.Frame) (*pb.Frame, error) {
+	counts := int64(len(frame.GetRolloutReport().GetCounts()))
+	if n.reportedCounts.Swap(counts) == 0 && counts > 0 {
+		n.toldAgain.Store(true)
+	}
 	for _, o := range n.fleet.nodes {
 		if o.name == address && o.runs() && !o.cut.Load() && !n.cut.Load() {
 			reply := o.conductor.HandleReport(n.name, frame.GetRolloutReport())
--- a/internal/rollout/conductor/rollout.go
+++ b/internal/rollout/conductor/rollout.go
@@ -41,6 +41,8 @@
 		answers, exposed uint64
 		// plan is this node's own plan, which counts if this node ranks first.
 		plan planner.Plan
+		// acknowledged has what the nodes that decide have been told, by name.
+		acknowledged map[string]*acknowledgement
 		// advice is the last plan of each node that has answered a report.
 		advice map[string]advice
 		// movedTicks counts the ticks in a row without an open call to other versions since the split was
@@ -62,6 +64,13 @@
 		moved  bool
 	}
 
+	// acknowledgement is what a node has been told since its start, which the epoch identifies.
+	acknowledgement struct {
+		epoch int64
+		// answers is the number of answers of each source.
+		answers map[judge.Source]uint64
+	}
+
 	// advice is the plan of another node.
 	advice struct {
 		at     time.Time
@@ -78,6 +87,7 @@
 			TargetVersion: o.TargetVersion, Credit: c.Random() + startPart*c.Bounds().Slack/nodes,
 		}),
 		counts: map[judge.Source]*judge.Counts{}, reports: map[string]*report{}, advice: map[string]advice{},
+		acknowledged: map[string]*acknowledgement{},
 	}
 	r.order.State = StateNone
 	if !r.ageObserved && !o.CreatedAt.IsZero() {
@@ -162,10 +172,32 @@
 	return unmoved
 }
 
-// encode returns the counts of this node as they are reported.
-func (r *rollout) encode() []*pb.RolloutCount {
+// acknowledge notes that a node has taken counts. A node that has started since has lost what it was told before.
+func (r *rollout) acknowledge(by string, epoch int64, counts []*pb.RolloutCount) {
+	a := r.acknowledged[by]
+	if a == nil || a.epoch != epoch {
+		r.acknowledged[by] = &acknowledgement{epoch: epoch, answers: map[judge.Source]uint64{}}
+		if a != nil {
+			return
+		}
+		a = r.acknowledged[by]
+	}
+	for _, k := range counts {
+		sum := k.GetFailures()
+		for _, n := range k.GetLatencies() {
+			sum += n
+		}
+		a.answers[judge.Source{Route: k.GetRoute(), Leaf: k.GetLeaf(), Cold: k.GetCold()}] = sum
+	}
+}
+
+// encode returns the counts of this node that another one has not been told yet.
+func (r *rollout) encode(to string) []*pb.RolloutCount {
 	var list []*pb.RolloutCount
 	for s, c := range r.counts {
+		if a := r.acknowledged[to]; a != nil && a.answers[s] == c.Answers() {
+			continue
+		}
 		used := len(c.Latencies)
 		for used > 0 && c.Latencies[used-1] == 0 {
 			used--
