--- a/internal/rollout/conductor/deciding.go
+++ b/internal/rollout/conductor/deciding.go
@@ -58,7 +58,7 @@
 	if !r.isFinal() {
 		c.countOpenCalls(r, now)
 		c.sendReport(ctx, r, leading, now)
-		c.judge(r, now)
+		c.judge(r, leading, now)
 		c.makePlan(r, members, now)
 		c.applyShare(r, leading, isolated, now)
 	}
@@ -84,20 +84,33 @@
 	r.movedTicks++
 }
 
-// judge judges the new version by all answers that have been reported to this node.
-func (c *Conductor) judge(r *rollout, now time.Time) {
+// judge judges the new version by all answers that have been reported to this node. Others only judge by their own
+// answers while no node that decides tells them its plan: many nodes that each judge by a few would often be wrong.
+func (c *Conductor) judge(r *rollout, leading []*pb.Member, now time.Time) {
 	leaves := c.config.Leaves.CountVersions(r.order.Service, r.splitter, now)
 	r.judge.SetLeaves(leaves.Target)
 	v := r.judge.Evaluate(now)
 	r.verdict = v
 	// Without leaves of other versions nothing could serve in place of the new one.
-	if !v.Bad || r.stopReason != "" || leaves.Other == 0 {
+	if !v.Bad || r.stopReason != "" || leaves.Other == 0 || c.isAdvised(r, leading, now) {
 		return
 	}
 	c.stop(r, "bad answers", now, "kind", v.Kind, "route", v.Route, "excess", v.Excess, "limit", v.Limit, "answers",
 		v.Answers, "bad_answers", v.BadAnswers)
 }
 
+// isAdvised reports whether this node isn't among those that decide and has lately been told the plan of one.
+func (c *Conductor) isAdvised(r *rollout, leading []*pb.Member, now time.Time) bool {
+	advised := false
+	for _, m := range leading {
+		if m.GetName() == c.config.NodeName {
+			return false
+		}
+		advised = advised || now.Sub(r.advice[m.GetName()].at) <= maxReportAge
+	}
+	return advised
+}
+
 // stop sends nothing to the new version from now on.
 func (c *Conductor) stop(r *rollout, reason string, now time.Time, inputs ...any) {
 	if r.isFinal() || r.stop(reason) {
