--- a/internal/rollout/conductor/conductor_test.go
+++ b/internal/rollout/conductor/conductor_test.go
@@ -243,6 +243,12 @@
 	f.run(time.Second, 100)
 	is.True(f.total > 50)
 	is.Equal(f.exposed, 0)
+	for _, id := range []string{"leaf-0", "leaf-1", "leaf-2"} {
+		f.nodes[0].balancer.Remove(id, "test")
+	}
+	f.total = 0
+	f.run(time.Second, 100)
+	is.Equal(f.total, 0) // also if no leaf of another version is left
 }
 
 // Two nodes may both believe that they decide while their views differ. Each decision must be written once, and what is
@@ -286,3 +292,41 @@
 	f.run(750*time.Millisecond, 0)
 	is.True(reporter.toldAgain.Load())
 }
+
+// While the store is away no status can say that a version is bad. All nodes must stop all the same.
+func TestConductorStopsBadVersionWithoutStore(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 5)
+	f.worse = func(time.Duration, string) bool { return f.random.Float64() < 0.5 }
+	f.order(orderOf(newVersion))
+	f.store.setDown(true)
+	for f.badAnswers < 10 {
+		f.run(period, 100)
+	}
+	f.run(stopTime, 100)
+	f.exposedSince = 0
+	f.run(5*time.Second, 100)
+	is.Equal(f.exposedSince, 0)
+	is.Equal(len(f.store.writes), 0)
+}
+
+// A leader that was frozen while the others found the version bad and the store was away must not complete it when it
+// wakes: it knows nothing of what the others have found.
+func TestConductorDoesNotDecideByWhatItKnewBeforeItWasFrozen(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 5)
+	bad := false
+	f.worse = func(time.Duration, string) bool { return bad && f.random.Float64() < 0.5 }
+	f.order(orderOf(newVersion))
+	f.run(duration/2, 100)
+	leader := f.leader()
+	leader.frozen.Store(true)
+	f.store.setDown(true)
+	bad = true
+	f.run(duration/2-time.Second, 100)
+	leader.frozen.Store(false)
+	f.store.setDown(false)
+	leader.conductor.Tick(t.Context()) // before any other node
+	f.run(3*time.Second, 100)
+	is.Equal(f.state(), conductor.StateReverted)
+}
--- a/internal/rollout/judge/judge_test.go
+++ b/internal/rollout/judge/judge_test.go
@@ -83,6 +83,12 @@
 			}
 			return 0, 1
 		}},
+		{"fails after a long good time", 20, 8, func(at time.Duration, _ string) (float64, float64) {
+			if at > 10*time.Minute {
+				return 0.3, 1
+			}
+			return 0, 1
+		}},
 		{"fails on one route", 100, 5, func(_ time.Duration, route string) (float64, float64) {
 			if route == "flag" {
 				return 0.4, 1
@@ -109,7 +115,7 @@
 					}
 					return 0, 1
 				}
-				v, at, badAnswers := play(l, 2*time.Minute, seed)
+				v, at, badAnswers := play(l, 12*time.Minute, seed)
 				t.Log(seed, at, badAnswers, v)
 				is.True(v.Bad)                                            // found
 				is.True(v.BadAnswers <= targetBound)                      // judged before the 50th
