--- a/internal/node/forwarder/evacuations_test.go
+++ b/internal/node/forwarder/evacuations_test.go
@@ -37,7 +37,7 @@
 			is.True(isEvacuated())
 			restored := replicator.Point{Era: 4, Revision: 4}
 			n.replicator.ApplyList("evacuations", nil, restored, clock.Now())
-			clock.Advance(evacuationReturnTime - time.Second).MustWait(t.Context())
+			clock.Advance(orderReturnTime - time.Second).MustWait(t.Context())
 			is.True(isEvacuated())
 			if writtenAgain {
 				n.replicator.ApplyChanges("evacuations", restored, []replicator.Document{evacuation},
--- a/internal/node/forwarder/fleet.go
+++ b/internal/node/forwarder/fleet.go
@@ -70,6 +70,8 @@
 		reply(&pb.Frame{Id: f.GetId(), Body: &pb.Frame_Documents{Documents: answer}})
 	case *pb.Frame_QuotaReport:
 		n.quotas.reporter.Receive(f.GetFrom(), body.QuotaReport)
+	case *pb.Frame_RolloutReport:
+		n.handleRolloutReport(f, body.RolloutReport, reply)
 	default:
 		n.config.Logger.Warn("frame type is not known", "from", f.GetFrom())
 	}
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -37,6 +37,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/patcher"
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
+	"github.com/magnoliastep/magnoliastep/internal/rollout/conductor"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/enroller"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/localizer"
@@ -72,6 +73,8 @@
 	// Kinds are the names of the kinds of documents in the store.
 	Kinds struct {
 		Configuration, Leaves, Evacuations, Nodes string
+		// Rollouts may be empty: software versions aren't rolled out then.
+		Rollouts string
 	}
 
 	// ReloadableSettings are the settings that may change while a node runs.
@@ -81,6 +84,9 @@
 		// RetryShare and RetrySlack bound the hedges and retries of all nodes to a service: a share of its requests, and
 		// a fixed number on top.
 		RetryShare, RetrySlack float64
+		// RolloutShare and RolloutSlack bound what a bad software version gets before it is completed: a share of the
+		// requests to its service, and a fixed number on top.
+		RolloutShare, RolloutSlack float64
 		// DrainTime is how long a leaf continues to serve after its entry says that it is draining.
 		DrainTime time.Duration
 		// StopTime is the time from the start of a planned stop to the end of the process.
@@ -115,7 +121,11 @@
 		Store              Store
 		Decoder            Decoder
 		Kinds              Kinds
-		HeaderNames        server.HeaderNames
+		// RolloutStore and DecodeRollout must be set with Kinds.Rollouts. DecodeRollout decodes an order to roll out a
+		// version of a service's software.
+		RolloutStore  conductor.Store
+		DecodeRollout func(d replicator.Document) (conductor.Order, error)
+		HeaderNames   server.HeaderNames
 		// DirectoryHandler answers callers that ask where to connect, and ReadinessHandler answers the platform.
 		DirectoryHandler func(n *selector.Selector, ready func() bool) http.Handler
 		ReadinessHandler func(ready func() bool) http.Handler
@@ -161,13 +171,18 @@
 		answerMemory, bodyMemory *reserver.Reserver
 		selector                 *selector.Selector
 		quotas                   *quotas
+		// conductor conducts roll-outs; nil if Kinds.Rollouts is empty.
+		conductor *conductor.Conductor
+		// unusableRollouts has the orders that can't be used, by service.
+		unusableRollouts sync.Map
 		// callerListener accepts the connections of callers; nil until it has been opened.
 		callerListener atomic.Pointer[net.Listener]
 		mutex          sync.Mutex
 		// evacuatedZones is the set of zones that are out of service.
 		evacuatedZones map[string]bool
-		// evacuationEnds has the pending end of each evacuation that is missing in a new era of the store, by zone.
-		evacuationEnds map[string]*quartz.Timer
+		// evacuationEnds and rolloutEnds have the pending end of each order that is missing in a new era of the store, by
+		// zone and by service.
+		evacuationEnds, rolloutEnds *pendingEnds
 		// helpers is the number of further serving nodes that this node asks for.
 		helpers atomic.Uint32
 		// joined is set for good once another node has been known.
@@ -187,7 +202,7 @@
 	}
 	n := &Node{
 		config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{},
-		evacuationEnds: map[string]*quartz.Timer{}, failures: make(chan error, 8),
+		evacuationEnds: newPendingEnds(c.Clock), rolloutEnds: newPendingEnds(c.Clock), failures: make(chan error, 8),
 	}
 	n.assembleAccounts()
 	n.setSettings(c.ReloadableSettings, defaultSettings())
@@ -201,6 +216,7 @@
 	n.assembleMemory()
 	n.assembleFleet()
 	n.assembleLeaves()
+	n.assembleRollouts()
 	n.assembleRecords()
 	n.assembleQuotas()
 	n.server = server.New(server.Config{
@@ -266,6 +282,7 @@
 		Misdirected: func(l *balancer.Leaf) {
 			c.Logger.Info("leaf answered for another", "leaf", l.Entry().ID, "address", l.Entry().Address)
 		},
+		OnCall: n.observeCall,
 		OnPanic: func(requestID string, l *balancer.Leaf, value any) {
 			n.isolator.Report(workCall, value, "request_id", requestID, "leaf", l.Entry().ID)
 		},
@@ -326,6 +343,9 @@
 	for _, w := range n.watchers {
 		n.startLoop(ctx, w.Run)
 	}
+	if n.conductor != nil {
+		n.startLoop(ctx, n.conductor.Run)
+	}
 	for _, run := range []func(context.Context){
 		n.activator.Run, n.gossiper.Run, n.join, n.observeProcessorTime,
 		n.quotas.reporter.Run,
--- a/internal/upstream/balancer/balancer.go
+++ b/internal/upstream/balancer/balancer.go
@@ -56,6 +56,8 @@
 		WarmUpLeft time.Duration
 		// Incarnation changes with each start of the leaf's process.
 		Incarnation int64
+		// Version is the version of the leaf's software; "" if it states none.
+		Version string
 	}
 
 	// Service has the limits that the configuration declares for the leaves of a service.
@@ -120,6 +122,8 @@
 		liveNodes int
 		// zoneNodes is how many of them are known to be in this node's zone; 0 if that is not known.
 		zoneNodes int
+		// splits has the split of each service whose software version is being rolled out.
+		splits map[string]Split
 	}
 
 	// process identifies one start of a leaf's process.
@@ -139,7 +143,7 @@
 	return &Balancer{
 		config: c, leaves: map[string]*Leaf{}, leavesByService: map[string]map[string]*Leaf{},
 		usable: map[string][]*Leaf{}, serviceLimits: map[string]Service{},
-		evacuatedZones: map[string]bool{}, liveNodes: 1,
+		evacuatedZones: map[string]bool{}, liveNodes: 1, splits: map[string]Split{},
 	}
 }
 
@@ -339,7 +343,8 @@
 func (b *Balancer) updateUsableLocked(service string) {
 	var leaves []*Leaf
 	for _, l := range b.leavesByService[service] {
-		usable := !l.entry.Draining && !l.exchanger.Leaving() && !b.evacuatedZones[l.entry.Zone]
+		usable := !l.entry.Draining && !l.exchanger.Leaving() && !b.evacuatedZones[l.entry.Zone] &&
+			!b.excludedLocked(l.entry)
 		l.exchanger.SetCallable(usable)
 		if usable {
 			leaves = append(leaves, l)
--- a/internal/upstream/balancer/pick.go
+++ b/internal/upstream/balancer/pick.go
@@ -58,8 +58,18 @@
 // untried leaf may get a call now. Among the leaves of a zone it is the one with the lowest expected latency.
 func (b *Balancer) Pick(service string, call Call, tried func(*Leaf) bool, now time.Time) (*Leaf, time.Duration) {
 	b.mutex.Lock()
-	leaves, limits := b.usable[service], b.serviceLimits[service]
+	leaves, limits, split := b.usable[service], b.serviceLimits[service], b.splits[service]
 	b.mutex.Unlock()
+	if split != nil {
+		return b.pickSplit(leaves, limits, split, call, tried, now)
+	}
+	return b.pickFrom(leaves, limits, call, tried, now)
+}
+
+// pickFrom picks among the leaves that are given.
+func (b *Balancer) pickFrom(leaves []*Leaf, limits Service, call Call, tried func(*Leaf) bool, now time.Time) (*Leaf,
+	time.Duration,
+) {
 	trafficCost := b.config.Localizer.TrafficCost(call.Call)
 	var best, local candidate
 	localTried := false
