--- a/internal/node/forwarder/rollouts_test.go
+++ b/internal/node/forwarder/rollouts_test.go
@@ -14,8 +14,8 @@
 	"github.com/magnoliastep/magnoliastep/internal/rollout/conductor"
 )
 
-// Guards against a version that was found bad and gets requests again because the store was restored from a copy without
-// its order, and against an order that never ends because the operator has removed it meanwhile.
+// Guards against a version that was found bad and gets requests again because the store was restored from a copy
+// without its order, and against an order that never ends because the operator has removed it meanwhile.
 func TestOrderThatCopyLacksHoldsUntilItCouldBeWrittenAgain(t *testing.T) {
 	for name, writtenAgain := range map[string]bool{"written again": true, "removed": false} {
 		t.Run(name, func(t *testing.T) {
