--- a/internal/upstream/balancer/balancer.go
+++ b/internal/upstream/balancer/balancer.go
@@ -1,5 +1,5 @@
 // Package balancer balances calls over the leaves of each service: it holds the leaves of all services and picks the
-// leaf with the lowest expected latency for each call. Leaves that are draining, in an evacuated zone, or suspended
+// leaf at which the answer loses least for each call. Leaves that are draining, in an evacuated zone, or suspended
 // because another process answered at their address are not picked. A leaf is draining if its entry or one of its
 // answers says so; what it has said in an answer holds until its process has been started again, which its entry shows
 // by another incarnation or address.
--- a/internal/upstream/balancer/pick.go
+++ b/internal/upstream/balancer/pick.go
@@ -46,7 +46,7 @@
 	ReasonNoLeaf Reason = "no_leaf"
 	// ReasonTried means that the request has already been sent to the leaves of the own zone.
 	ReasonTried Reason = "tried"
-	// ReasonCold means that the leaf of the own zone is cold.
+	// ReasonCold means that the leaf of the own zone is cold, and slow or not to be called more often.
 	ReasonCold Reason = "cold"
 	// ReasonFull means that calls wait for a connection to the leaf of the own zone.
 	ReasonFull Reason = "full"
@@ -62,14 +62,19 @@
 	b.mutex.Unlock()
 	trafficCost := b.config.Localizer.TrafficCost(call.Call)
 	var best, local candidate
-	localTried := false
+	unavailable := ReasonNoLeaf
 	for _, l := range leaves {
 		ownZone := l.entry.Zone == b.config.Zone
 		if tried(l) {
-			localTried = localTried || ownZone
+			if ownZone {
+				unavailable = ReasonTried
+			}
 			continue
 		}
 		if !l.available(now, limits.WarmUpRate, b.config.ColdShare) {
+			if ownZone && l.isCold(now) {
+				unavailable = ReasonCold
+			}
 			continue
 		}
 		c := candidate{leaf: l, expected: b.expectedLatency(l, call.TypicalLatency, now)}
@@ -86,7 +91,7 @@
 	}
 	best.leaf.spendColdToken(now, limits.WarmUpRate)
 	if b.config.OnZoneLeft != nil && best.leaf.entry.Zone != b.config.Zone {
-		b.config.OnZoneLeft(departure(best, local, trafficCost, localTried, now))
+		b.config.OnZoneLeft(departure(best, local, trafficCost, unavailable, now))
 	}
 	return best.leaf, best.expected
 }
@@ -100,8 +105,8 @@
 	return a
 }
 
-// departure describes a call that goes to best instead of local, which may be the zero value.
-func departure(best, local candidate, trafficCost float64, localTried bool, now time.Time) Departure {
+// departure describes a call that goes to best instead of local. If local is the zero value, unavailable says why.
+func departure(best, local candidate, trafficCost float64, unavailable Reason, now time.Time) Departure {
 	d := Departure{
 		Service: best.leaf.entry.Service, Zone: best.leaf.entry.Zone, Expected: best.expected, Local: local.expected,
 		Cost: trafficCost,
@@ -111,10 +116,8 @@
 		d.LocalSilence = local.leaf.scorer.OldestOpenCall(now)
 	}
 	switch {
-	case local.leaf == nil && localTried:
-		d.Reason = ReasonTried
 	case local.leaf == nil:
-		d.Reason = ReasonNoLeaf
+		d.Reason = unavailable
 	case local.leaf.isCold(now):
 		d.Reason = ReasonCold
 	case !local.leaf.exchanger.HasCapacity():
