--- a/internal/upstream/localizer/localizer.go
+++ b/internal/upstream/localizer/localizer.go
@@ -10,19 +10,13 @@
 // send a growing share of their calls away instead of all at once.
 package localizer
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // DefaultTrafficCost is what a megabyte between zones costs if a deployment does not say otherwise, in units of the
 // value of one request.
 const DefaultTrafficCost = 3
 
 const (
-	// latencyShape is the shape of the log-logistic distribution that is assumed for the latencies of calls: about one
-	// call in a hundred takes five times as long as expected.
-	latencyShape = 3
 	// costJitter is the largest share by which the cost of a call's bytes is changed at random, up or down.
 	costJitter       = 0.25
 	bytesPerMegabyte = 1 << 20
@@ -78,10 +72,12 @@
 }
 
 // expect returns the loss multiplied by the chance that a call with the given expected latency takes longer than the
-// time left.
+// time left. Latencies are taken for log-logistic with shape 3: one call in about a hundred takes five times as long as
+// expected.
 func (s Stake) expect(latency time.Duration) float64 {
 	if s.Left <= 0 {
 		return s.Loss
 	}
-	return s.Loss / (1 + math.Pow(float64(s.Left)/float64(max(latency, time.Microsecond)), latencyShape))
+	ratio := float64(s.Left) / float64(max(latency, time.Microsecond))
+	return s.Loss / (1 + ratio*ratio*ratio)
 }
