--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -75,11 +75,11 @@
 		Address: s.StoreAddress, Clock: clock, OnCall: func(call, result string) {
 			set.GetOrCreateCounter(`stepfront_store_calls_total{call="` + call + `",result="` + result + `"}`).Inc()
 		},
-		OnUnreadable: unreadableReporter(set, logger),
+		OnUnreadable: unreadableReporter(set, logger), OnUnusedEra: unusedEraReporter(set, logger),
 	})
 	node := nodeConfig(s)
 	node.ZoneTrafficCost = v.ZoneTrafficCost
-	node.Store, node.Clock, node.Logger, node.Metrics = store, clock, logger, set
+	node.Store, node.RolloutStore, node.Clock, node.Logger, node.Metrics = store, store, clock, logger, set
 	n := forwarder.New(node)
 	stopContext, beginStop := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer beginStop(nil)
@@ -159,6 +159,7 @@
 func reloadableSettings(s platform.Settings) forwarder.ReloadableSettings {
 	return forwarder.ReloadableSettings{
 		SeedPeers: s.SeedPeers, RetryShare: s.RetryShare, RetrySlack: s.RetrySlack, DrainTime: s.DrainTime,
+		RolloutShare: s.RolloutShare, RolloutSlack: s.RolloutSlack,
 		StopTime: s.StopTime, ConfigurationTime: s.ConfigurationTime,
 		QuotaBounds: limiter.Bounds{Window: s.QuotaWindow, Over: s.QuotaOver, Slack: s.QuotaSlack},
 	}
@@ -168,7 +169,9 @@
 // kind.
 func unreadableReporter(set *metrics.Set, logger *slog.Logger) func(kind string, objects int) {
 	name := func(kind string) string { return `stepfront_store_objects_unreadable_total{kind="` + kind + `"}` }
-	for _, kind := range []string{platform.KindConfiguration, platform.KindLeaves, platform.KindEvacuations} {
+	for _, kind := range []string{
+		platform.KindConfiguration, platform.KindLeaves, platform.KindEvacuations, platform.KindRollouts,
+	} {
 		set.NewCounter(name(kind))
 	}
 	var logged sync.Map
@@ -181,6 +184,22 @@
 	}
 }
 
+// unusedEraReporter returns a function that counts answers of the store whose era can't be used, and logs the first for
+// each reason.
+func unusedEraReporter(set *metrics.Set, logger *slog.Logger) func(reason string) {
+	name := func(reason string) string { return `stepfront_store_eras_unused_total{reason="` + reason + `"}` }
+	for _, reason := range []string{platform.EraMissing, platform.EraNoNumber, platform.EraWentBack} {
+		set.NewCounter(name(reason))
+	}
+	var logged sync.Map
+	return func(reason string) {
+		set.GetOrCreateCounter(name(reason)).Inc()
+		if _, repeated := logged.LoadOrStore(reason, true); !repeated {
+			logger.Warn("answer of the store states no usable era; the era counts as unchanged", "reason", reason)
+		}
+	}
+}
+
 // nodeConfig returns what the settings say of a node.
 func nodeConfig(s platform.Settings) forwarder.Config {
 	return forwarder.Config{
@@ -192,9 +211,10 @@
 		Decoder:            platform.Decoder{},
 		Kinds: forwarder.Kinds{
 			Configuration: platform.KindConfiguration, Leaves: platform.KindLeaves,
-			Evacuations: platform.KindEvacuations, Nodes: platform.KindNodes,
+			Evacuations: platform.KindEvacuations, Nodes: platform.KindNodes, Rollouts: platform.KindRollouts,
 		},
-		HeaderNames: platform.HeaderNames(),
+		DecodeRollout: platform.DecodeRollout,
+		HeaderNames:   platform.HeaderNames(),
 		DirectoryHandler: func(n *selector.Selector, ready func() bool) http.Handler {
 			return platform.DirectoryHandler(n, ready)
 		},
--- a/internal/discovery/selector/selector.go
+++ b/internal/discovery/selector/selector.go
@@ -110,6 +110,11 @@
 	return serving
 }
 
+// CountServingInZone returns the number of nodes of a zone that serve callers.
+func (sl *Selector) CountServingInZone(zone string) int {
+	return len(sl.selectNodes().byZone[zone])
+}
+
 // selectNodes selects the serving nodes of all zones.
 func (sl *Selector) selectNodes() selection {
 	large, small := splitBySize(aliveMembers(sl.config.View.Members()))
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/quartz"
 
+	"github.com/magnoliastep/magnoliastep/internal/account/labeler"
 	"github.com/magnoliastep/magnoliastep/internal/account/weigher"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/reaper"
 	"github.com/magnoliastep/magnoliastep/internal/discovery/selector"
@@ -36,6 +37,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/patcher"
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
+	"github.com/magnoliastep/magnoliastep/internal/rollout/conductor"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/enroller"
 	"github.com/magnoliastep/magnoliastep/internal/upstream/localizer"
@@ -71,6 +73,8 @@
 	// Kinds are the names of the kinds of documents in the store.
 	Kinds struct {
 		Configuration, Leaves, Evacuations, Nodes string
+		// Rollouts may be empty: software versions aren't rolled out then.
+		Rollouts string
 	}
 
 	// ReloadableSettings are the settings that may change while a node runs.
@@ -80,6 +84,9 @@
 		// RetryShare and RetrySlack bound the hedges and retries of all nodes to a service: a share of its requests, and
 		// a fixed number on top.
 		RetryShare, RetrySlack float64
+		// RolloutShare and RolloutSlack bound what a bad software version gets before it is completed: a share of the
+		// requests to its service, and a fixed number on top.
+		RolloutShare, RolloutSlack float64
 		// DrainTime is how long a leaf continues to serve after its entry says that it is draining.
 		DrainTime time.Duration
 		// StopTime is the time from the start of a planned stop to the end of the process.
@@ -114,7 +121,11 @@
 		Store              Store
 		Decoder            Decoder
 		Kinds              Kinds
-		HeaderNames        server.HeaderNames
+		// RolloutStore and DecodeRollout must be set with Kinds.Rollouts. DecodeRollout decodes an order to roll out a
+		// version of a service's software.
+		RolloutStore  conductor.Store
+		DecodeRollout func(d replicator.Document) (conductor.Order, error)
+		HeaderNames   server.HeaderNames
 		// DirectoryHandler answers callers that ask where to connect, and ReadinessHandler answers the platform.
 		DirectoryHandler func(n *selector.Selector, ready func() bool) http.Handler
 		ReadinessHandler func(ready func() bool) http.Handler
@@ -134,18 +145,20 @@
 		// keySecret is the key of the digests of account keys, random for this process.
 		keySecret []byte
 		// weigher weighs the use of the leaves by client accounts.
-		weigher    *weigher.Weigher
-		stopping   atomic.Bool
-		ready      atomic.Bool
-		replicator *replicator.Replicator
-		watchers   []*watcher.Watcher
-		patcher    *patcher.Patcher
-		elector    *elector.Elector
-		activator  *activator.Activator
-		reaper     *reaper.Reaper
-		tracer     *tracer.Tracer
-		isolator   *isolator.Isolator
-		gossiper   *gossiper.Gossiper
+		weigher *weigher.Weigher
+		// accountLabels names the accounts in metrics.
+		accountLabels *labeler.Labeler
+		stopping      atomic.Bool
+		ready         atomic.Bool
+		replicator    *replicator.Replicator
+		watchers      []*watcher.Watcher
+		patcher       *patcher.Patcher
+		elector       *elector.Elector
+		activator     *activator.Activator
+		reaper        *reaper.Reaper
+		tracer        *tracer.Tracer
+		isolator      *isolator.Isolator
+		gossiper      *gossiper.Gossiper
 		// bootstrapper brings this node its first documents.
 		bootstrapper *bootstrapper.Bootstrapper
 		messenger    *messenger.Messenger
@@ -158,11 +171,18 @@
 		answerMemory, bodyMemory *reserver.Reserver
 		selector                 *selector.Selector
 		quotas                   *quotas
+		// conductor conducts roll-outs; nil if Kinds.Rollouts is empty.
+		conductor *conductor.Conductor
+		// unusableRollouts has the orders that can't be used, by service.
+		unusableRollouts sync.Map
 		// callerListener accepts the connections of callers; nil until it has been opened.
 		callerListener atomic.Pointer[net.Listener]
 		mutex          sync.Mutex
 		// evacuatedZones is the set of zones that are out of service.
 		evacuatedZones map[string]bool
+		// evacuationEnds and rolloutEnds have the pending end of each order that is missing in a new era of the store, by
+		// zone and by service.
+		evacuationEnds, rolloutEnds *pendingEnds
 		// helpers is the number of further serving nodes that this node asks for.
 		helpers atomic.Uint32
 		// joined is set for good once another node has been known.
@@ -180,8 +200,11 @@
 	if c.Listen == nil {
 		c.Listen = listenTCP
 	}
-	n := &Node{config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{}, failures: make(chan error, 8)}
-	n.keySecret, n.weigher = newKeySecret(), weigher.New()
+	n := &Node{
+		config: c, startedAt: c.Clock.Now(), evacuatedZones: map[string]bool{},
+		evacuationEnds: newPendingEnds(c.Clock), rolloutEnds: newPendingEnds(c.Clock), failures: make(chan error, 8),
+	}
+	n.assembleAccounts()
 	n.setSettings(c.ReloadableSettings, defaultSettings())
 	n.elector = elector.New(elector.Config{
 		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
@@ -193,13 +216,15 @@
 	n.assembleMemory()
 	n.assembleFleet()
 	n.assembleLeaves()
+	n.assembleRollouts()
 	n.assembleRecords()
 	n.assembleQuotas()
 	n.server = server.New(server.Config{
 		Gatherer: n.gatherer, Use: n.accountUse, HeaderNames: c.HeaderNames, Matcher: n.matcher.Load,
 		ConfigCurrent:  n.configurationCurrent,
 		ConfigOutdated: n.configurationOutdated, Draining: n.stopping.Load, Observe: n.observeRequest,
-		OnPanic: func() { n.countPanic(workRequest) }, Logger: c.Logger, Random: rand.Float64,
+		ObserveAccount: n.observeAccount,
+		OnPanic:        func() { n.countPanic(workRequest) }, Logger: c.Logger, Random: rand.Float64,
 		Memory: n.bodyMemory, Quota: n.quotas,
 	})
 	n.selector = selector.New(selector.Config{
@@ -257,6 +282,7 @@
 		Misdirected: func(l *balancer.Leaf) {
 			c.Logger.Info("leaf answered for another", "leaf", l.Entry().ID, "address", l.Entry().Address)
 		},
+		OnCall: n.observeCall,
 		OnPanic: func(requestID string, l *balancer.Leaf, value any) {
 			n.isolator.Report(workCall, value, "request_id", requestID, "leaf", l.Entry().ID)
 		},
@@ -317,6 +343,9 @@
 	for _, w := range n.watchers {
 		n.startLoop(ctx, w.Run)
 	}
+	if n.conductor != nil {
+		n.startLoop(ctx, n.conductor.Run)
+	}
 	for _, run := range []func(context.Context){
 		n.activator.Run, n.gossiper.Run, n.join, n.observeProcessorTime,
 		n.quotas.reporter.Run,
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"time"
 
@@ -27,10 +26,10 @@
 	watchWait = time.Second
 	// evacuationWait is how long one watch of evacuations waits. It is longer because evacuations may take more time.
 	evacuationWait = 2500 * time.Millisecond
+	// rolloutWait is how long one watch of roll-outs waits. They last a minute or more.
+	rolloutWait = 5 * time.Second
 	// discoveryPeriod is the time between two searches in the store for other nodes while none is known.
 	discoveryPeriod = 2 * time.Second
-	// registerDelay is the time before each attempt to register this node in the store. The view is complete by the first.
-	registerDelay = 3 * time.Second
 	// maxFallbackReaderJitter bounds the random delay after which nodes that do not rank as readers read the store.
 	maxFallbackReaderJitter = 20 * time.Second
 	// joinPollPeriod is the time between two checks whether the initial documents have arrived.
@@ -49,8 +48,13 @@
 	c := n.config
 	n.patcher = patcher.New()
 	n.activator = activator.New(activator.Config{Activate: n.tryConfiguration, Clock: c.Clock})
-	n.replicator = replicator.New(replicator.Config{Clock: c.Clock, OnChange: n.documentChanged})
+	n.replicator = replicator.New(replicator.Config{
+		Clock: c.Clock, OnChange: n.documentChanged, OnRenumber: n.patcher.Record,
+	})
 	kinds := []string{c.Kinds.Configuration, c.Kinds.Leaves, c.Kinds.Evacuations}
+	if c.Kinds.Rollouts != "" {
+		kinds = append(kinds, c.Kinds.Rollouts)
+	}
 	n.gossiper = gossiper.New(gossiper.Config{
 		Kinds: kinds, PeerAddress: c.PeerAddress, Messenger: n.messenger, Replica: n.replicator,
 		Patcher: n.patcher, Peers: n.linkedPeers,
@@ -64,8 +68,11 @@
 	})
 	for _, k := range kinds {
 		wait := watchWait
-		if k == c.Kinds.Evacuations {
+		switch k {
+		case c.Kinds.Evacuations:
 			wait = evacuationWait
+		case c.Kinds.Rollouts:
+			wait = rolloutWait
 		}
 		n.watchers = append(n.watchers, watcher.New(watcher.Config{
 			Kind: k, Store: c.Store, Replica: &announcingReplica{Replicator: n.replicator, announce: n.gossiper.Announce},
@@ -106,17 +113,17 @@
 }
 
 func (a *announcingReplica) ApplyChanges(
-	kind string, after int64, documents []replicator.Document, revision int64, confirmedAt time.Time,
+	kind string, after replicator.Point, documents []replicator.Document, at replicator.Point, confirmedAt time.Time,
 ) bool {
-	applied := a.Replicator.ApplyChanges(kind, after, documents, revision, confirmedAt)
+	applied := a.Replicator.ApplyChanges(kind, after, documents, at, confirmedAt)
 	a.announce()
 	return applied
 }
 
 func (a *announcingReplica) ApplyList(
-	kind string, documents []replicator.Document, revision int64, confirmedAt time.Time,
+	kind string, documents []replicator.Document, at replicator.Point, confirmedAt time.Time,
 ) {
-	a.Replicator.ApplyList(kind, documents, revision, confirmedAt)
+	a.Replicator.ApplyList(kind, documents, at, confirmedAt)
 	a.announce()
 }
 
@@ -135,6 +142,8 @@
 		n.leafChanged(d, confirmedBefore)
 	case n.config.Kinds.Evacuations:
 		n.evacuationChanged(d)
+	case n.config.Kinds.Rollouts:
+		n.rolloutChanged(d)
 	}
 }
 
@@ -163,8 +172,8 @@
 		return
 	}
 	for _, problem := range sanitizer.Sanitize(&c) {
-		n.config.Logger.Warn("configuration has an unusable value", "problem", problem, "config_version", c.Version)
-		n.config.Metrics.GetOrCreateCounter("stepfront_config_unusable_values_total").Inc()
+		n.config.Logger.Warn("configuration has an unusable value", "problem", problem.Text, "config_version", c.Version)
+		n.config.Metrics.GetOrCreateCounter(unusableValuesName).Inc()
 	}
 	services := make(map[string]balancer.Service, len(c.Services))
 	for _, s := range c.Services {
@@ -176,35 +185,30 @@
 	m := matcher.New(c)
 	n.pruneMetrics(n.matcher.Swap(m), m)
 	n.gatherer.Recheck()
+	n.pruneAccounts(m)
 	n.config.Logger.Info("configuration in force", "config_version", c.Version, "revision", d.Revision,
 		"routes", len(c.Routes), "services", len(c.Services), "accounts", len(c.Accounts), "bytes", len(d.Data),
 		"previous_confirmed_ago", n.config.Clock.Since(confirmedBefore))
 }
 
 func (n *Node) leafChanged(d replicator.Document, confirmedBefore time.Time) {
-	if d.Deleted {
+	switch {
+	case d.Deleted && d.Restored:
+		n.enroller.AwaitReturn(d.Name)
+		return
+	case d.Deleted:
 		n.enroller.ScheduleRemoval(d.Name, confirmedBefore)
 		return
 	}
 	entry, err := n.config.Decoder.Leaf(d)
-	if err != nil {
+	switch {
+	case err != nil:
 		n.enroller.RemoveUnusable(d.Name, err)
-		return
-	}
-	n.enroller.Put(entry)
-}
-
-func (n *Node) evacuationChanged(d replicator.Document) {
-	n.mutex.Lock()
-	if d.Deleted {
-		delete(n.evacuatedZones, d.Name)
-	} else {
-		n.evacuatedZones[d.Name] = true
+	case d.Restored:
+		n.enroller.PutRestored(entry)
+	default:
+		n.enroller.Put(entry)
 	}
-	zones := maps.Clone(n.evacuatedZones)
-	n.mutex.Unlock()
-	n.balancer.SetEvacuatedZones(zones)
-	n.config.Logger.Info("zone evacuation changed", "zone", d.Name, "out_of_service", !d.Deleted, "revision", d.Revision)
 }
 
 // discoverNodes searches the store for other nodes as long as none is known, because the seeds may be out of date.
@@ -244,6 +248,7 @@
 			return
 		}
 	}
+	n.awaitRollouts(ctx)
 	n.ready.Store(true)
 	n.config.Logger.Info("node is ready", "after", n.config.Clock.Since(n.startedAt))
 	n.startLoop(ctx, n.register)
@@ -255,27 +260,6 @@
 	return n.matcher.Load() != nil && n.replicator.Position(n.config.Kinds.Leaves).Revision > 0
 }
 
-// register writes this node's address into the store once it serves callers, so that nodes which start later find a
-// live node when all seeds are gone.
-func (n *Node) register(ctx context.Context) {
-	data, err := json.Marshal(nodeRecord{PeerAddress: n.config.PeerAddress})
-	if err != nil {
-		n.config.Logger.Error("node record can't be encoded", "error", err)
-		return
-	}
-	for sleeper.Sleep(ctx, n.config.Clock, registerDelay); ctx.Err() == nil; sleeper.Sleep(ctx, n.config.Clock,
-		registerDelay) {
-		if _, serves := n.selector.CountServing(n.config.NodeName); !serves {
-			continue
-		}
-		failure := n.config.Store.Put(ctx, n.config.Kinds.Nodes, n.config.NodeName, data)
-		if failure == nil {
-			return
-		}
-		n.config.Logger.Info("node not registered in the store; trying again", "error", failure)
-	}
-}
-
 // configurationCurrent reports whether the configuration in force was confirmed so recently that no newer one can be
 // due yet, and no newer one is known.
 func (n *Node) configurationCurrent() bool {
--- a/internal/upstream/balancer/balancer.go
+++ b/internal/upstream/balancer/balancer.go
@@ -1,5 +1,5 @@
 // Package balancer balances calls over the leaves of each service: it holds the leaves of all services and picks the
-// leaf with the lowest expected latency for each call. Leaves that are draining, in an evacuated zone, or suspended
+// leaf at which the answer loses least for each call. Leaves that are draining, in an evacuated zone, or suspended
 // because another process answered at their address are not picked. A leaf is draining if its entry or one of its
 // answers says so; what it has said in an answer holds until its process has been started again, which its entry shows
 // by another incarnation or address.
@@ -56,6 +56,8 @@
 		WarmUpLeft time.Duration
 		// Incarnation changes with each start of the leaf's process.
 		Incarnation int64
+		// Version is the version of the leaf's software; "" if it states none.
+		Version string
 	}
 
 	// Service has the limits that the configuration declares for the leaves of a service.
@@ -118,6 +120,10 @@
 		// oldest first, at most maxDeparted.
 		departed  []process
 		liveNodes int
+		// zoneNodes is how many of them are known to be in this node's zone; 0 if that is not known.
+		zoneNodes int
+		// splits has the split of each service whose software version is being rolled out.
+		splits map[string]Split
 	}
 
 	// process identifies one start of a leaf's process.
@@ -137,7 +143,7 @@
 	return &Balancer{
 		config: c, leaves: map[string]*Leaf{}, leavesByService: map[string]map[string]*Leaf{},
 		usable: map[string][]*Leaf{}, serviceLimits: map[string]Service{},
-		evacuatedZones: map[string]bool{}, liveNodes: 1,
+		evacuatedZones: map[string]bool{}, liveNodes: 1, splits: map[string]Split{},
 	}
 }
 
@@ -233,12 +239,15 @@
 	b.applyAllLimitsLocked()
 }
 
-// SetLiveNodes sets the number of live nodes, which share each leaf's connections.
-func (b *Balancer) SetLiveNodes(nodes int) {
+// SetLiveNodes sets the number of live nodes, which share each leaf's connections, and how many of them are known to be
+// in this node's zone; 0 if that is not known.
+func (b *Balancer) SetLiveNodes(nodes, inZone int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.liveNodes != max(1, nodes) {
-		b.liveNodes = max(1, nodes)
+	nodes = max(1, nodes)
+	inZone = min(max(0, inZone), nodes)
+	if b.liveNodes != nodes || b.zoneNodes != inZone {
+		b.liveNodes, b.zoneNodes = nodes, inZone
 		b.applyAllLimitsLocked()
 	}
 }
@@ -322,7 +331,11 @@
 // applyLimitsLocked sets this node's share of the leaf's connections and slots.
 func (b *Balancer) applyLimitsLocked(l *Leaf) {
 	l.exchanger.SetConnectionLimit(b.connectionLimit(l.entry.Service))
-	l.exchanger.SetShare(apportioner.CallsInFlight(l.entry.Slots, b.liveNodes))
+	share := apportioner.CallsInFlight(l.entry.Slots, b.liveNodes)
+	if l.entry.Zone == b.config.Zone {
+		share = apportioner.CallsInFlightInZone(l.entry.Slots, b.zoneNodes, b.liveNodes-b.zoneNodes)
+	}
+	l.exchanger.SetShare(share)
 }
 
 // updateUsableLocked rebuilds the list of the service's leaves that may be called. Calls that wait for one that may
@@ -330,7 +343,8 @@
 func (b *Balancer) updateUsableLocked(service string) {
 	var leaves []*Leaf
 	for _, l := range b.leavesByService[service] {
-		usable := !l.entry.Draining && !l.exchanger.Leaving() && !b.evacuatedZones[l.entry.Zone]
+		usable := !l.entry.Draining && !l.exchanger.Leaving() && !b.evacuatedZones[l.entry.Zone] &&
+			!b.excludedLocked(l.entry)
 		l.exchanger.SetCallable(usable)
 		if usable {
 			leaves = append(leaves, l)
