--- a/internal/quota/granter/granter.go
+++ b/internal/quota/granter/granter.go
@@ -342,9 +342,9 @@
 	return true
 }
 
-// spare returns 1 if this node may grant a request beyond a share that is less than one, because little of the quota is
-// in use. If all nodes that may do so do at once, they exceed the level by the tolerance at most: only the shares of the
-// large nodes are taken besides.
+// spare returns 1 if this node may grant a request beyond a share that is less than one, because little of the quota
+// is in use. If all nodes that may do so do at once, they exceed the level by the tolerance at most: only the shares of
+// the large nodes are taken besides.
 func (g *Granter) spare(s Situation) int {
 	allowed := spareTolerance*g.config.Tolerance() + g.level*(1-s.LargeShare)
 	if g.Share(s)*g.level < 1 && g.highLevel(s) && float64(s.Rank+1) <= allowed {
