--- a/internal/node/forwarder/departures.go
+++ b/internal/node/forwarder/departures.go
@@ -9,8 +9,12 @@
 	"github.com/magnoliastep/magnoliastep/internal/upstream/balancer"
 )
 
-// departureLogPeriod is the time between two log lines about calls that leave the zone for the same reason.
-const departureLogPeriod = time.Second
+const (
+	// departureLogPeriod is the time between two log lines about calls that leave the zone for the same reason.
+	departureLogPeriod = time.Second
+	// leafCallBytes is the kind of the bytes of requests to leaves and their answers.
+	leafCallBytes = "leaf_call"
+)
 
 type (
 	// departureLog limits the log lines about calls that leave the zone. It is safe for concurrent use.
@@ -43,9 +47,21 @@
 	return c.calls, true
 }
 
+// registerDepartures registers the counters of calls that leave the zone and of their bytes.
+func (n *Node) registerDepartures() {
+	for _, r := range balancer.Reasons() {
+		n.config.Metrics.NewCounter(departuresName(r))
+	}
+	n.countZoneBytes(leafCallBytes, 0)
+}
+
+func departuresName(r balancer.Reason) string {
+	return `stepfront_zone_departures_total{reason="` + string(r) + `"}`
+}
+
 // observeDeparture counts and logs a call that leaves the availability zone.
 func (n *Node) observeDeparture(d balancer.Departure) {
-	n.config.Metrics.GetOrCreateCounter(`stepfront_zone_departures_total{reason="` + string(d.Reason) + `"}`).Inc()
+	n.config.Metrics.GetOrCreateCounter(departuresName(d.Reason)).Inc()
 	calls, due := n.departures.add(d.Reason, n.config.Clock.Now())
 	if !due {
 		return
--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -196,6 +196,7 @@
 	n.registerGauges()
 	n.registerUnanswered()
 	n.registerPanics()
+	n.registerDepartures()
 	return n
 }
 
@@ -233,7 +234,7 @@
 		MaxAnswerBytes: maxAnswerBytesOf(c.MemoryBytes), Memory: n.answerMemory, ColdShare: n.coldShare,
 		OnConnect: connections.Inc, OnExcessBytes: c.Metrics.NewCounter("stepfront_leaf_answers_too_long_total").Inc,
 		Localizer:  localizer.New(localizer.Config{TrafficCost: c.ZoneTrafficCost, Random: rand.Float64}),
-		OnZoneLeft: n.observeDeparture, OnZoneBytes: func(bytes int) { n.countZoneBytes("leaf_call", bytes) },
+		OnZoneLeft: n.observeDeparture, OnZoneBytes: func(bytes int) { n.countZoneBytes(leafCallBytes, bytes) },
 		Random: rand.Float64, Logger: c.Logger,
 	})
 	n.enroller = enroller.New(enroller.Config{
--- a/internal/upstream/balancer/pick.go
+++ b/internal/upstream/balancer/pick.go
@@ -54,6 +54,11 @@
 	ReasonSlow Reason = "slow"
 )
 
+// Reasons returns all reasons for which a call leaves the zone.
+func Reasons() []Reason {
+	return []Reason{ReasonNoLeaf, ReasonTried, ReasonCold, ReasonFull, ReasonSlow}
+}
+
 // Pick returns the leaf of the service at which the answer loses least, and its expected latency, or nil when no
 // untried leaf may get a call now. Among the leaves of a zone it is the one with the lowest expected latency.
 func (b *Balancer) Pick(service string, call Call, tried func(*Leaf) bool, now time.Time) (*Leaf, time.Duration) {
