--- a/internal/node/forwarder/evacuations_test.go
+++ b/internal/node/forwarder/evacuations_test.go
@@ -13,8 +13,8 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
 )
 
-// Guards against an evacuation that ends because the store was restored from a copy without it, although the operator is
-// about to write it again, and against one that never ends because the operator has taken it back meanwhile.
+// Guards against an evacuation that ends because the store was restored from a copy without it, although the operator
+// is about to write it again, and against one that never ends because the operator has taken it back meanwhile.
 func TestEvacuationThatCopyLacksHoldsUntilItCouldBeWrittenAgain(t *testing.T) {
 	for name, writtenAgain := range map[string]bool{"written again": true, "taken back": false} {
 		t.Run(name, func(t *testing.T) {
