--- a/internal/rollout/conductor/conductor.go
+++ b/internal/rollout/conductor/conductor.go
@@ -119,7 +119,6 @@
 		// largestFleet is the largest number of members in the last fleetMemory.
 		largestFleet   int
 		largestFleetAt time.Time
-		tickedAt       time.Time
 	}
 
 	// Answer is an answer of a leaf.
--- a/internal/rollout/conductor/deciding.go
+++ b/internal/rollout/conductor/deciding.go
@@ -16,9 +16,6 @@
 	// minMovedTicks is how many ticks in a row must have had no open call to other versions. One more than a single
 	// one, because a call may be about to begin.
 	minMovedTicks = 2
-	// maxTickGap is the longest time between two ticks after which this node decides. After a longer one it may
-	// have been frozen, and others may have decided.
-	maxTickGap = time.Second
 	// fleetMemory is how long the largest number of members is remembered to tell a cut-off node by.
 	fleetMemory = 20 * time.Second
 	// writeTimeout bounds the writing of a status, and writePause is the time between two attempts. After a write
@@ -40,21 +37,19 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	now := c.config.Clock.Now()
-	resumed := now.Sub(c.tickedAt) > maxTickGap
-	c.tickedAt = now
 	for _, r := range c.rollouts {
 		if !r.isSettled() {
-			c.advance(ctx, r, resumed, now)
+			c.advance(ctx, r, now)
 		}
 	}
 }
 
-// advance makes one tick of a roll-out. resumed is set if the last one was long ago.
-func (c *Conductor) advance(ctx context.Context, r *rollout, resumed bool, now time.Time) {
+// advance makes one tick of a roll-out.
+func (c *Conductor) advance(ctx context.Context, r *rollout, now time.Time) {
 	members := c.config.Fleet.Members()
 	isolated := c.isIsolated(len(members), now)
 	leading := c.config.Fleet.Leading(keyPrefix+r.order.Service, deciders)
-	decides := !isolated && !resumed && len(leading) > 0 && leading[0].GetName() == c.config.NodeName
+	decides := !isolated && len(leading) > 0 && leading[0].GetName() == c.config.NodeName
 	if !r.isFinal() {
 		c.countOpenCalls(r, now)
 		c.sendReport(ctx, r, leading, now)
@@ -62,7 +57,7 @@
 		c.makePlan(r, members, now)
 		c.applyShare(r, leading, isolated, now)
 	}
-	if decides {
+	if decides && (r.dueState() != StateCompleted || r.hearsMost(members, now)) {
 		c.write(ctx, r, now)
 	}
 }
--- a/internal/rollout/conductor/rollout.go
+++ b/internal/rollout/conductor/rollout.go
@@ -191,6 +191,18 @@
 	}
 }
 
+// hearsMost reports whether most members have reported lately. Otherwise this node may have been frozen or cut off, and
+// does not know what the others have found.
+func (r *rollout) hearsMost(members []*pb.Member, now time.Time) bool {
+	heard := 0
+	for _, m := range members {
+		if p := r.reports[m.GetName()]; p != nil && now.Sub(p.at) <= maxReportAge {
+			heard++
+		}
+	}
+	return 2*heard > len(members)
+}
+
 // encode returns the counts of this node that another one has not been told yet.
 func (r *rollout) encode(to string) []*pb.RolloutCount {
 	var list []*pb.RolloutCount
