--- a/internal/rollout/conductor/deciding.go
+++ b/internal/rollout/conductor/deciding.go
@@ -57,7 +57,7 @@
 		c.makePlan(r, members, now)
 		c.applyShare(r, leading, isolated, now)
 	}
-	if decides && (r.dueState() != StateCompleted || r.hearsMost(members, now)) {
+	if decides && (r.isFinal() || r.dueState() != StateCompleted || r.hearsMost(members, now)) {
 		c.write(ctx, r, now)
 	}
 }
