--- a/internal/command/frontend/run.go
+++ b/internal/command/frontend/run.go
@@ -200,6 +200,15 @@
 	}
 }
 
+// rolloutKind returns the kind of the orders of roll-outs, or "" if the settings do not bound roll-outs: then there are
+// none, and nodes do not ask the store for them.
+func rolloutKind(s platform.Settings) string {
+	if s.RolloutShare <= 0 {
+		return ""
+	}
+	return platform.KindRollouts
+}
+
 // nodeConfig returns what the settings say of a node.
 func nodeConfig(s platform.Settings) forwarder.Config {
 	return forwarder.Config{
@@ -211,7 +220,7 @@
 		Decoder:            platform.Decoder{},
 		Kinds: forwarder.Kinds{
 			Configuration: platform.KindConfiguration, Leaves: platform.KindLeaves,
-			Evacuations: platform.KindEvacuations, Nodes: platform.KindNodes, Rollouts: platform.KindRollouts,
+			Evacuations: platform.KindEvacuations, Nodes: platform.KindNodes, Rollouts: rolloutKind(s),
 		},
 		DecodeRollout: platform.DecodeRollout,
 		HeaderNames:   platform.HeaderNames(),
