--- a/internal/node/forwarder/rollouts.go
+++ b/internal/node/forwarder/rollouts.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// unusableOrders is the name of the counter of orders that can't be used.
+	unusableOrders = "stepfront_rollout_orders_unusable_total"
 	// rolloutPatience is how long a node that starts waits for the orders once it has the leaves. It would send to
 	// a new version like to any other before it knows them.
 	rolloutPatience = time.Second
@@ -37,6 +39,7 @@
 	if c.Kinds.Rollouts == "" {
 		return
 	}
+	c.Metrics.NewCounter(unusableOrders)
 	n.conductor = conductor.New(conductor.Config{
 		NodeName: c.NodeName, Store: c.RolloutStore, Leaves: n.balancer, Messenger: n.messenger, Fleet: rolloutFleet{n},
 		Bounds: n.rolloutBounds, Random: rand.Float64, Clock: c.Clock, Logger: c.Logger, Metrics: c.Metrics,
@@ -76,7 +79,7 @@
 		n.conductor.SetOrder(o)
 		return
 	}
-	n.config.Metrics.GetOrCreateCounter("stepfront_rollout_orders_unusable_total").Inc()
+	n.config.Metrics.GetOrCreateCounter(unusableOrders).Inc()
 	if _, repeated := n.unusableRollouts.LoadOrStore(d.Name, true); !repeated {
 		n.config.Logger.Warn("roll-out order is not usable and is ignored", "service", d.Name, "revision", d.Revision,
 			"error", err)
--- a/internal/rollout/conductor/conductor.go
+++ b/internal/rollout/conductor/conductor.go
@@ -135,7 +135,10 @@
 
 // New returns a Conductor without orders.
 func New(c Config) *Conductor {
-	return &Conductor{config: c, epoch: c.Clock.Now().UnixNano(), rollouts: map[string]*rollout{}}
+	n := &Conductor{config: c, epoch: c.Clock.Now().UnixNano(), rollouts: map[string]*rollout{}}
+	c.Metrics.NewGauge("stepfront_rollouts_active", func() float64 { return float64(n.active.Load()) })
+	c.Metrics.NewCounter(decisionCounter("stop"))
+	return n
 }
 
 // String returns the name of the state for logs.
--- a/internal/rollout/conductor/deciding.go
+++ b/internal/rollout/conductor/deciding.go
@@ -224,5 +224,10 @@
 }
 
 func (c *Conductor) count(decision string) {
-	c.config.Metrics.GetOrCreateCounter(`stepfront_rollout_decisions_total{decision="` + decision + `"}`).Inc()
+	c.config.Metrics.GetOrCreateCounter(decisionCounter(decision)).Inc()
+}
+
+// decisionCounter returns the name of the counter of a decision.
+func decisionCounter(decision string) string {
+	return `stepfront_rollout_decisions_total{decision="` + decision + `"}`
 }
