--- a/internal/rollout/conductor/conductor_test.go
+++ b/internal/rollout/conductor/conductor_test.go
@@ -303,6 +303,7 @@
 	for f.badAnswers < 10 && f.clock.Since(f.start) < duration/2 {
 		f.run(period, 100)
 	}
+	is.True(f.badAnswers > 0)
 	f.run(stopTime, 100)
 	f.exposedSince = 0
 	f.run(5*time.Second, 100)
