--- a/internal/node/forwarder/evacuations_test.go
+++ b/internal/node/forwarder/evacuations_test.go
@@ -11,8 +11,25 @@
 	"github.com/matryer/is"
 
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
+	"github.com/magnoliastep/magnoliastep/internal/rollout/conductor"
 )
 
+// newFollowingNode returns a node that is not running, to which a test applies documents of the store.
+func newFollowingNode(clock quartz.Clock) *Node {
+	return New(Config{
+		NodeName: "n1", AvailabilityZone: "z1", Clock: clock, Metrics: metrics.NewSet(), CPUShare: 1,
+		PeerAddress: "127.0.0.1:9", Store: fakeStore{}, Decoder: fakeDecoder{},
+		DecodeRollout: func(d replicator.Document) (conductor.Order, error) {
+			return conductor.Order{Service: d.Name, TargetVersion: "v2", Duration: time.Hour, Revision: d.Revision}, nil
+		},
+		Kinds: Kinds{
+			Configuration: "configuration", Leaves: "leaves", Evacuations: "evacuations", Nodes: "nodes",
+			Rollouts: "rollouts",
+		},
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+}
+
 // Guards against an evacuation that ends because the store was restored from a copy without it, although the operator
 // is about to write it again, and against one that never ends because the operator has taken it back meanwhile.
 func TestEvacuationThatCopyLacksHoldsUntilItCouldBeWrittenAgain(t *testing.T) {
@@ -20,12 +37,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			clock := quartz.NewMock(t)
-			n := New(Config{
-				NodeName: "n1", AvailabilityZone: "z1", Clock: clock, Metrics: metrics.NewSet(), CPUShare: 1,
-				PeerAddress: "127.0.0.1:9", Store: fakeStore{}, Decoder: fakeDecoder{},
-				Kinds:  Kinds{Configuration: "configuration", Leaves: "leaves", Evacuations: "evacuations", Nodes: "nodes"},
-				Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
-			})
+			n := newFollowingNode(clock)
 			isEvacuated := func() bool {
 				n.mutex.Lock()
 				defer n.mutex.Unlock()
