--- a/internal/node/forwarder/quotas.go
+++ b/internal/node/forwarder/quotas.go
@@ -11,6 +11,9 @@
 	"github.com/magnoliastep/magnoliastep/internal/quota/reporter"
 )
 
+// unusableQuotasName is the counter of quotas of a configuration that can't be used.
+const unusableQuotasName = "stepfront_quotas_unusable_total"
+
 type (
 	// quotas limits the requests of client accounts on all nodes together.
 	quotas struct {
@@ -39,6 +42,7 @@
 		Limiter: q.limiter, Messenger: n.messenger, View: n.quotaView, Address: n.prober.Address, Clock: n.config.Clock,
 		OnDrop: m.NewCounter("stepfront_quota_reports_dropped_total").Inc, Isolate: n.isolateFrame,
 	})
+	m.NewCounter(unusableQuotasName)
 	m.NewGauge("stepfront_quota_accounts_limited", func() float64 { return float64(q.limiter.Limited()) })
 	m.NewGauge("stepfront_quota_share_permitted", func() float64 {
 		if q.limiter.Permitted() {
@@ -73,7 +77,7 @@
 		accounts = append(accounts, limiter.Account{Name: a.Name, Rate: a.Rate, Burst: a.Burst})
 	}
 	for _, name := range n.quotas.limiter.SetAccounts(accounts, n.config.Clock.Now()) {
-		n.config.Metrics.GetOrCreateCounter("stepfront_quotas_unusable_total").Inc()
+		n.config.Metrics.GetOrCreateCounter(unusableQuotasName).Inc()
 		n.config.Logger.Warn("quota is not usable; the account has no limit", "account", name, "config_version", c.Version)
 	}
 }
