--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # deploy/system.toml.
 set -eu
 cd "$(dirname "$0")/.."
-go build -tags review2 -o target/review-2/ ./review/standins-2
+go build -buildvcs=false -tags review2 -o target/review-2/ ./review/standins-2
