Readers of the store: every node has its turn in time, whatever others are lost

Cause: the elector's ranks were a fixed list. The first 8 nodes took over in steps of 0.15 s, two of each zone after them, all others only after 4 s and a random delay of up to 20 s. A node that is left when the nodes before it are gone waited for all of them; no node of the fleet knew what the store had acknowledged.

Change: each node's turn lies within 0.7 of the time in which a change must be in force, spread by the logarithm of its rank, and needs no knowledge of who is lost. What kept hundreds of nodes from the store in an outage is now explicit: nodes tell each other, with their positions and counted from the time of the pull, that a live node is asking the store, and let their turns pass while they know so. The first 8, and 2 of each zone, ask all the same; of the others 2 are drawn anew each second, in case the store turns away only those that ask. A watch whose confirmation is overdue waits 20 ms for changes. Evacuations and leaves have their own bounds (5 s, drain time).

--- a/internal/node/forwarder/forwarder.go
+++ b/internal/node/forwarder/forwarder.go
@@ -208,10 +208,7 @@
 	}
 	n.assembleAccounts()
 	n.setSettings(c.ReloadableSettings, defaultSettings())
-	n.elector = elector.New(elector.Config{
-		NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone,
-		FallbackJitter: rand.N(maxFallbackReaderJitter), //nolint:gosec // spreads load only
-	})
+	n.elector = elector.New(elector.Config{NodeName: c.NodeName, AvailabilityZone: c.AvailabilityZone})
 	n.monitor = monitor.New(monitor.Config{Clock: c.Clock})
 	n.reaper = reaper.New(reaper.Config{Timeout: n.idleTimeout, Clock: c.Clock})
 	n.isolator = isolator.New(isolator.Config{Logger: c.Logger, OnPanic: n.countPanic})
--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -13,6 +13,7 @@
 	"github.com/magnoliastep/magnoliastep/internal/records/bootstrapper"
 	"github.com/magnoliastep/magnoliastep/internal/records/elector"
 	"github.com/magnoliastep/magnoliastep/internal/records/gossiper"
+	"github.com/magnoliastep/magnoliastep/internal/records/monitor"
 	"github.com/magnoliastep/magnoliastep/internal/records/patcher"
 	"github.com/magnoliastep/magnoliastep/internal/records/replicator"
 	"github.com/magnoliastep/magnoliastep/internal/records/watcher"
@@ -28,10 +29,13 @@
 	evacuationWait = 2500 * time.Millisecond
 	// rolloutWait is how long one watch of roll-outs waits. They last a minute or more.
 	rolloutWait = 5 * time.Second
+	// evacuationTime and rolloutTime are the times within which evacuations and roll-outs must be in force.
+	evacuationTime = 5 * time.Second
+	rolloutTime    = 10 * time.Second
+	// overdueMargin is how much longer than the wait of a watch a confirmation may take.
+	overdueMargin = 300 * time.Millisecond
 	// discoveryPeriod is the time between two searches in the store for other nodes while none is known.
 	discoveryPeriod = 2 * time.Second
-	// maxFallbackReaderJitter bounds the random delay after which nodes that do not rank as readers read the store.
-	maxFallbackReaderJitter = 20 * time.Second
 	// joinPollPeriod is the time between two checks whether the initial documents have arrived.
 	joinPollPeriod = 20 * time.Millisecond
 	// maxConfigurationAgeShare is how old the last confirmation of the configuration may be, as a share of the time
@@ -57,7 +61,7 @@
 	}
 	n.gossiper = gossiper.New(gossiper.Config{
 		Kinds: kinds, PeerAddress: c.PeerAddress, Messenger: n.messenger, Replica: n.replicator,
-		Patcher: n.patcher, Failures: n.monitor, Peers: n.linkedPeers,
+		Patcher: n.patcher, Monitor: n.monitor, Overdue: n.isOverdue, Peers: n.linkedPeers,
 		ForwardChanges: func() bool { return !linker.FullMesh(len(n.prober.Members())) },
 		Clock:          c.Clock, Logger: c.Logger,
 		OnDocuments: n.observeTransfer, Isolate: n.isolateFrame,
@@ -67,33 +71,60 @@
 		Puller: n.gossiper, Complete: n.hasInitialDocuments, Clock: c.Clock, Logger: c.Logger,
 	})
 	for _, k := range kinds {
-		wait := watchWait
-		switch k {
-		case c.Kinds.Evacuations:
-			wait = evacuationWait
-		case c.Kinds.Rollouts:
-			wait = rolloutWait
-		}
+		wait := n.watchWait(k)
 		n.watchers = append(n.watchers, watcher.New(watcher.Config{
 			Kind: k, Store: c.Store, Replica: &announcingReplica{Replicator: n.replicator, announce: n.gossiper.Announce},
-			Wait: wait, ShouldRead: func() bool { return n.shouldReadStore(k, wait) }, Failures: n.monitor,
+			Wait: wait, ShouldRead: func() bool { return n.shouldReadStore(k) }, Monitor: announcingMonitor{Monitor: n.monitor, announce: n.gossiper.Announce},
 			Clock: c.Clock, Logger: c.Logger,
 		}))
 	}
 }
 
 // shouldReadStore reports whether this node should read a kind from the store now.
-func (n *Node) shouldReadStore(kind string, wait time.Duration) bool {
+func (n *Node) shouldReadStore(kind string) bool {
 	position := n.replicator.Position(kind)
 	if position.Revision == 0 {
 		return n.bootstrapper.ShouldReadStore()
 	}
 	return n.elector.ShouldRead(elector.Situation{
 		Kind: kind, Ranker: n.currentFleet().ranker, ConfirmedAgo: n.config.Clock.Since(position.ConfirmedAt),
-		BehindFor: n.behindFor(kind), Wait: wait, ChangeTime: n.settings.Load().ConfigurationTime,
+		AskedAgo: n.config.Clock.Since(n.monitor.OthersAskedAt(kind)), BehindFor: n.behindFor(kind),
+		Wait: n.watchWait(kind), ChangeTime: n.changeTime(kind),
 	})
 }
 
+// watchWait returns how long one watch of a kind waits for a change.
+func (n *Node) watchWait(kind string) time.Duration {
+	switch kind {
+	case n.config.Kinds.Evacuations:
+		return evacuationWait
+	case n.config.Kinds.Rollouts:
+		return rolloutWait
+	default:
+		return watchWait
+	}
+}
+
+// changeTime returns the time within which a change of a kind must be in force.
+func (n *Node) changeTime(kind string) time.Duration {
+	s := n.settings.Load()
+	switch {
+	case kind == n.config.Kinds.Evacuations:
+		return evacuationTime
+	case kind == n.config.Kinds.Rollouts:
+		return rolloutTime
+	case kind == n.config.Kinds.Leaves && s.DrainTime > 0:
+		return s.DrainTime
+	default:
+		return s.ConfigurationTime
+	}
+}
+
+// isOverdue reports whether the documents of a kind should have been confirmed before now.
+func (n *Node) isOverdue(kind string) bool {
+	return n.config.Clock.Since(n.replicator.Position(kind).ConfirmedAt) > n.watchWait(kind)+overdueMargin
+}
+
 // behindFor returns how long this node has known of documents of a kind that it has not got; 0 if it knows of none.
 func (n *Node) behindFor(kind string) time.Duration {
 	since, behind := n.gossiper.BehindSince(kind)
@@ -128,6 +159,20 @@
 	a.announce()
 }
 
+// announcingMonitor is a monitor that notifies other nodes when this node begins to read the store, so that those with a
+// later turn leave it to this one.
+type announcingMonitor struct {
+	*monitor.Monitor
+	announce func()
+}
+
+func (a announcingMonitor) SetReading(kind string, reading bool) {
+	a.Monitor.SetReading(kind, reading)
+	if reading {
+		a.announce()
+	}
+}
+
 // documentChanged applies a document that is new to this node. A panic leaves out this document only.
 func (n *Node) documentChanged(d replicator.Document, confirmedBefore time.Time) {
 	_ = n.isolator.Run(workDocument, func() { n.applyDocument(d, confirmedBefore) }, "kind", d.Kind, "document", d.Name,
--- a/internal/records/gossiper/gossiper.go
+++ b/internal/records/gossiper/gossiper.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,10 +68,15 @@
 		Apply(kind, name string, patch *pb.DocumentPatch) ([]byte, error)
 	}
 
-	// Failures keeps when calls to the store last failed.
-	Failures interface {
+	// Monitor keeps what is known of the nodes that ask the store and of its answers.
+	Monitor interface {
 		MergeFailure(kind string, at time.Time)
 		FailedAt(kind string) time.Time
+		MergeAsked(kind string, at time.Time)
+		AskedAt(kind string) time.Time
+		OthersAskedAt(kind string) time.Time
+		// IsReading reports whether this node asks the store for a kind.
+		IsReading(kind string) bool
 	}
 
 	// Config holds what a Gossiper needs.
@@ -81,7 +87,10 @@
 		Messenger   Messenger
 		Replica     Replica
 		Patcher     Patcher
-		Failures    Failures
+		Monitor     Monitor
+		// Overdue reports whether this node's documents of a kind should have been confirmed before now. Only then it learns
+		// from others whether the store is being asked.
+		Overdue func(kind string) bool
 		// Peers returns the peer addresses of the nodes to notify, in a new random order on each call.
 		Peers func() []string
 		// ForwardChanges reports whether Peers omits some nodes, so that changes from other nodes have to be forwarded.
@@ -166,11 +175,22 @@
 			g.sendNotices(ctx, g.config.Peers())
 		case <-ticker.C:
 			peers := g.config.Peers()
-			g.sendNotices(ctx, peers[:min(periodicNoticePeers, len(peers))])
+			if !g.asksInVain() {
+				peers = peers[:min(periodicNoticePeers, len(peers))]
+			}
+			g.sendNotices(ctx, peers)
 		}
 	}
 }
 
+// asksInVain reports whether this node asks the store for a kind that is overdue all the same, so that the others are
+// about to ask as well.
+func (g *Gossiper) asksInVain() bool {
+	return slices.ContainsFunc(g.config.Kinds, func(kind string) bool {
+		return g.config.Overdue(kind) && g.config.Monitor.IsReading(kind)
+	})
+}
+
 // HandleNotice pulls from the sender of a notice if that has newer documents or a newer confirmation of this node's.
 func (g *Gossiper) HandleNotice(ctx context.Context, m *pb.DocumentNotice) {
 	n := notice{m, g.config.Clock.Now()}
@@ -181,19 +201,31 @@
 }
 
 // isWorthPulling reports whether the sender of a notice has a newer revision of any kind, or a confirmation of this
-// node's revision that seems newer by more than minForwardAdvance.
+// node's revision that seems newer by more than minForwardAdvance, or knows that the store is asked for documents whose
+// confirmation is overdue here.
 func (g *Gossiper) isWorthPulling(n notice) bool {
 	for _, p := range n.GetPositions() {
 		known := g.config.Replica.Position(p.GetKind())
 		confirmedAt := n.receivedAt.Add(-p.GetConfirmedAgo().AsDuration())
 		if known.Point().Before(pointOf(p)) ||
-			(known.Point() == pointOf(p) && confirmedAt.Sub(known.ConfirmedAt) > minForwardAdvance) {
+			(known.Point() == pointOf(p) && confirmedAt.Sub(known.ConfirmedAt) > minForwardAdvance) ||
+			g.isNewlyAsked(p, n.receivedAt) {
 			return true
 		}
 	}
 	return false
 }
 
+// isNewlyAsked reports whether a position tells that the store was being asked for a kind that is overdue here, later
+// than known by more than minForwardAdvance.
+func (g *Gossiper) isNewlyAsked(p *pb.DocumentPosition, asOf time.Time) bool {
+	if p.GetAskedAgo() == nil || !g.config.Overdue(p.GetKind()) {
+		return false
+	}
+	askedAt := asOf.Add(-p.GetAskedAgo().AsDuration())
+	return askedAt.Sub(g.config.Monitor.OthersAskedAt(p.GetKind())) > minForwardAdvance
+}
+
 // addPendingNotice stores a notice. It returns true if no goroutine works through the pending notices yet, so that the
 // calling goroutine has to.
 func (g *Gossiper) addPendingNotice(n notice) bool {
@@ -247,8 +279,15 @@
 		Kind: kind, Era: p.Era, Revision: p.Revision,
 		ConfirmedAgo: durationpb.New(g.config.Clock.Since(p.ConfirmedAt)),
 	}
-	if failedAt := g.config.Failures.FailedAt(kind); !failedAt.IsZero() {
-		encoded.FailedAgo = durationpb.New(g.config.Clock.Since(failedAt))
-	}
+	encoded.FailedAgo = g.encodeAge(g.config.Monitor.FailedAt(kind))
+	encoded.AskedAgo = g.encodeAge(g.config.Monitor.AskedAt(kind))
 	return encoded
 }
+
+// encodeAge returns the time since a time, or nil for the zero time.
+func (g *Gossiper) encodeAge(at time.Time) *durationpb.Duration {
+	if at.IsZero() {
+		return nil
+	}
+	return durationpb.New(g.config.Clock.Since(at))
+}
--- a/internal/records/gossiper/gossiper_test.go
+++ b/internal/records/gossiper/gossiper_test.go
@@ -120,7 +120,7 @@
 		f.monitor[name] = monitor.New(monitor.Config{Clock: quartz.NewReal()})
 		g := gossiper.New(gossiper.Config{
 			Kinds: []string{kind}, PeerAddress: name, Messenger: peerMessenger{f, name}, Replica: r, Patcher: p,
-			Clock: quartz.NewReal(), Failures: f.monitor[name],
+			Clock: quartz.NewReal(), Monitor: f.monitor[name], Overdue: func(string) bool { return false },
 			Peers: func() []string {
 				peers := linker.ChoosePeers(f.names, name)
 				rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
--- a/internal/records/gossiper/pull.go
+++ b/internal/records/gossiper/pull.go
@@ -164,9 +164,8 @@
 	for _, d := range documents {
 		byKind[d.Kind] = append(byKind[d.Kind], d)
 	}
-	g.mergeFailures(positions, requestedAt)
+	advanced := g.mergeMonitored(positions, requestedAt)
 	after := points(pull.GetPositions())
-	advanced := false
 	for _, p := range m.GetPositions() {
 		kind, at := p.GetKind(), pointOf(p)
 		confirmedAt := confirmationTime(positions, p, requestedAt)
@@ -183,14 +182,19 @@
 	}
 }
 
-// mergeFailures records the failed calls to the store of which an answer tells. They are counted from the time of the
-// pull, so that a delay makes them older.
-func (g *Gossiper) mergeFailures(positions []*pb.DocumentPosition, requestedAt time.Time) {
+// mergeMonitored records when, by an answer, calls to the store failed and nodes were asking it. The times are counted
+// from the time of the pull, so that a delay makes them older. It reports whether other nodes should learn of it.
+func (g *Gossiper) mergeMonitored(positions []*pb.DocumentPosition, requestedAt time.Time) (advanced bool) {
 	for _, p := range positions {
 		if p.GetFailedAgo() != nil {
-			g.config.Failures.MergeFailure(p.GetKind(), requestedAt.Add(-p.GetFailedAgo().AsDuration()))
+			g.config.Monitor.MergeFailure(p.GetKind(), requestedAt.Add(-p.GetFailedAgo().AsDuration()))
+		}
+		if p.GetAskedAgo() != nil {
+			advanced = advanced || g.isNewlyAsked(p, requestedAt)
+			g.config.Monitor.MergeAsked(p.GetKind(), requestedAt.Add(-p.GetAskedAgo().AsDuration()))
 		}
 	}
+	return advanced
 }
 
 // observe reports a pull that brought documents.
--- a/internal/records/watcher/watcher.go
+++ b/internal/records/watcher/watcher.go
@@ -29,6 +29,9 @@
 	// minWait bounds the wait of a watch that follows a change. It is shorter than Config.Wait, because an answer with
 	// changes leaves the position with an old confirmation.
 	minWait = 250 * time.Millisecond
+	// overdueWait is the wait of a watch when a confirmation is overdue. The node has then taken over from another that
+	// may be lost, and others that know of no change need the confirmation before they ask the store themselves.
+	overdueWait = 20 * time.Millisecond
 	// maxChangesFactor and minChangesBytes bound the answer to a watch, as a multiple of the known documents and a number
 	// of bytes on top.
 	maxChangesFactor = 2
@@ -69,8 +72,11 @@
 		Bytes(kind string) int64
 	}
 
-	// Failures records calls that the store did not answer as it should.
-	Failures interface {
+	// Monitor is told how this node reads the store.
+	Monitor interface {
+		// SetReading tells whether the node reads a kind from now on.
+		SetReading(kind string, reading bool)
+		// RecordFailure tells of a call for a kind that failed or was answered late.
 		RecordFailure(kind string)
 	}
 
@@ -84,10 +90,9 @@
 		Wait time.Duration
 		// ShouldRead reports whether this node should read the store now; other nodes may read on its behalf.
 		ShouldRead func() bool
-		// Failures is told of each call that failed or was answered late.
-		Failures Failures
-		Clock    quartz.Clock
-		Logger   *slog.Logger
+		Monitor    Monitor
+		Clock      quartz.Clock
+		Logger     *slog.Logger
 	}
 
 	// Watcher follows the documents of one kind.
@@ -115,6 +120,7 @@
 	for ctx.Err() == nil {
 		if shouldRead := w.config.ShouldRead(); shouldRead != w.reading {
 			w.reading = shouldRead
+			w.config.Monitor.SetReading(w.config.Kind, shouldRead)
 			w.config.Logger.Info("store reader changed", "kind", w.config.Kind, "reads", shouldRead,
 				"unconfirmed_for", w.config.Clock.Since(w.config.Replica.Position(w.config.Kind).ConfirmedAt))
 		}
@@ -175,6 +181,9 @@
 // wait returns how long the next watch waits for a change, so that the position is confirmed within Config.Wait.
 func (w *Watcher) wait() time.Duration {
 	age := w.config.Clock.Since(w.config.Replica.Position(w.config.Kind).ConfirmedAt)
+	if age > w.config.Wait+minWait {
+		return overdueWait
+	}
 	return min(max(w.config.Wait-age, minWait), w.config.Wait)
 }
 
@@ -220,7 +229,7 @@
 func (w *Watcher) recordFailure(ctx context.Context, err error, took time.Duration) {
 	answered := err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrChangesTooLarge)
 	if ctx.Err() == nil && (!answered || took > slowAnswerTime) {
-		w.config.Failures.RecordFailure(w.config.Kind)
+		w.config.Monitor.RecordFailure(w.config.Kind)
 	}
 }
 
--- a/internal/records/watcher/watcher_test.go
+++ b/internal/records/watcher/watcher_test.go
@@ -95,7 +95,10 @@
 	}
 }
 
-// RecordFailure implements watcher.Failures.
+// SetReading implements watcher.Monitor.
+func (s *store) SetReading(string, bool) {}
+
+// RecordFailure implements watcher.Monitor.
 func (s *store) RecordFailure(string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -131,7 +134,7 @@
 		})
 		w := watcher.New(watcher.Config{
 			Kind: kind, Store: s, Replica: r, Wait: time.Second, ShouldRead: shouldRead, Clock: quartz.NewReal(),
-			Failures: s, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Monitor: s, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		go w.Run(ctx)
--- a/internal/view/ranker/ranker.go
+++ b/internal/view/ranker/ranker.go
@@ -7,6 +7,7 @@
 package ranker
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -70,8 +71,7 @@
 	best := make([]scoredMember, 0, count+1)
 	hash := xxhash.Sum64String(k.Name)
 	for _, c := range r.candidates(k, count) {
-		s := scoredMember{member: c.member, proximity: proximity(k, c.member), score: mix(hash, c.hash)}
-		best = insert(best, s, count)
+		best = insert(best, c.score(k, hash), count)
 	}
 	leading := make([]*pb.Member, 0, len(best))
 	for _, s := range best {
@@ -80,6 +80,33 @@
 	return leading
 }
 
+// Position returns how many members would own the key before the named one, or the number of all members if it is not
+// among them.
+func (r *Ranker) Position(k Key, name string) int {
+	named := slices.IndexFunc(r.all, func(c candidate) bool { return c.member.GetName() == name })
+	if named < 0 {
+		return len(r.all)
+	}
+	hash, before := xxhash.Sum64String(k.Name), 0
+	own := r.all[named].score(k, hash)
+	for i, c := range r.all {
+		if i != named && c.score(k, hash).before(own) {
+			before++
+		}
+	}
+	return before
+}
+
+// Count returns the number of members.
+func (r *Ranker) Count() int {
+	return len(r.all)
+}
+
+// score returns the place of a candidate for a key whose name has a hash.
+func (c candidate) score(k Key, hash uint64) scoredMember {
+	return scoredMember{member: c.member, proximity: proximity(k, c.member), score: mix(hash, c.hash)}
+}
+
 // candidates returns the nearest group that has at least count members, or all members if none has.
 func (r *Ranker) candidates(k Key, count int) []candidate {
 	if zone := r.byZone[k.AvailabilityZone]; k.AvailabilityZone != "" && len(zone) >= count {
