--- a/internal/node/forwarder/records.go
+++ b/internal/node/forwarder/records.go
@@ -71,11 +71,11 @@
 		Puller: n.gossiper, Complete: n.hasInitialDocuments, Clock: c.Clock, Logger: c.Logger,
 	})
 	for _, k := range kinds {
-		wait := n.watchWait(k)
 		n.watchers = append(n.watchers, watcher.New(watcher.Config{
 			Kind: k, Store: c.Store, Replica: &announcingReplica{Replicator: n.replicator, announce: n.gossiper.Announce},
-			Wait: wait, ShouldRead: func() bool { return n.shouldReadStore(k) }, Monitor: announcingMonitor{Monitor: n.monitor, announce: n.gossiper.Announce},
-			Clock: c.Clock, Logger: c.Logger,
+			Wait: n.watchWait(k), ShouldRead: func() bool { return n.shouldReadStore(k) },
+			Monitor: announcingMonitor{Monitor: n.monitor, announce: n.gossiper.Announce},
+			Clock:   c.Clock, Logger: c.Logger,
 		}))
 	}
 }
@@ -159,8 +159,8 @@
 	a.announce()
 }
 
-// announcingMonitor is a monitor that notifies other nodes when this node begins to read the store, so that those with a
-// later turn leave it to this one.
+// announcingMonitor is a monitor that notifies other nodes when this node begins to read the store, so that those with
+// a later turn leave it to this one.
 type announcingMonitor struct {
 	*monitor.Monitor
 	announce func()
--- a/internal/records/elector/fleet_test.go
+++ b/internal/records/elector/fleet_test.go
@@ -131,7 +131,7 @@
 		for _, n := range f.nodes {
 			n.start(ctx)
 		}
-		scenario(is.New(t), f, rand.New(rand.NewPCG(seed, uint64(nodes)))) //nolint:gosec // draws faults only
+		scenario(is.New(t), f, rand.New(rand.NewPCG(seed, uint64(nodes))))
 	})
 }
 
@@ -303,8 +303,8 @@
 	return calls
 }
 
-// observe samples the fleet for a time. It returns the greatest age of a confirmation of a running node and the greatest
-// number of calls to the store in a second.
+// observe samples the fleet for a time. It returns the greatest age of a confirmation of a running node and the
+// greatest number of calls to the store in a second.
 func (f *playedFleet) observe(d time.Duration) (oldest time.Duration, mostCalls int) {
 	f.takeCalls()
 	for elapsed := time.Duration(0); elapsed < d; elapsed += time.Second {
@@ -353,8 +353,8 @@
 	})
 }
 
-// Guards against nodes that follow the store too late after the loss of any of the others at once, and against a load on
-// the store from those that are left. Found by review/9 and review/10.
+// Guards against nodes that follow the store too late after the loss of any of the others at once, and against a load
+// on the store from those that are left. Found by review/9 and review/10.
 func TestNodesLeftAreConfirmedInTimeAfterLossOfOthers(t *testing.T) {
 	losses := map[int][]int{
 		2: {1}, 3: {1, 2}, 7: {4, 6}, 9: {7, 8}, 12: {6, 11}, 18: {14, 16, 17}, 60: {20, 59}, 195: {194}, 300: {150, 299},
--- a/internal/upstream/enroller/enroller.go
+++ b/internal/upstream/enroller/enroller.go
@@ -148,8 +148,8 @@
 	e.removals[id] = removal{timer, restored}
 }
 
-// removalDelay returns how long to keep a leaf whose vanished entry has been unconfirmed for the given time. storeFailed
-// is set if a call to the store has failed in that time.
+// removalDelay returns how long to keep a leaf whose vanished entry has been unconfirmed for the given time.
+// storeFailed is set if a call to the store has failed in that time.
 func (e *Enroller) removalDelay(unconfirmedFor time.Duration, storeFailed bool) time.Duration {
 	if storeFailed && unconfirmedFor > minStoreOutage {
 		return entryReturnTime
--- a/internal/upstream/enroller/enroller_test.go
+++ b/internal/upstream/enroller/enroller_test.go
@@ -85,10 +85,12 @@
 	is.Equal(len(p.leaves), 1) // the leaf without an entry is removed
 }
 
-// Guards against requests to a leaf that is gone, after the nodes were lost that read the store for this one: it heard of
-// the store late, took that for an outage and kept the leaf past its drain time. Found by review/10.
+// Guards against requests to a leaf that is gone, after the nodes were lost that read the store for this one: it heard
+// of the store late, took that for an outage and kept the leaf past its drain time. Found by review/10.
 func TestVanishedLeafIsRemovedInTimeAfterLossOfReaders(t *testing.T) {
-	for name, failedAgo := range map[string]time.Duration{"no failed call": time.Hour, "older failed call": 4 * time.Second} {
+	for name, failedAgo := range map[string]time.Duration{
+		"no failed call": time.Hour, "older failed call": 4 * time.Second,
+	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			clock, p, e := newEnrollerWithFailure(t, func(now time.Time) time.Time { return now.Add(-failedAgo) })
