--- a/internal/records/monitor/monitor_test.go
+++ b/internal/records/monitor/monitor_test.go
@@ -24,3 +24,19 @@
 	is.True(m.FailedAt("evacuations").IsZero())
 	is.Equal(m.LastFailure(), now)
 }
+
+func TestOwnCallsCountAsAskedButNotAsThoseOfOthers(t *testing.T) {
+	is := is.New(t)
+	clock := quartz.NewMock(t)
+	m := monitor.New(monitor.Config{Clock: clock})
+	asked := clock.Now().Add(-time.Second)
+	m.MergeAsked("leaves", asked)
+	m.MergeAsked("leaves", asked.Add(-time.Second)) // an older report changes nothing
+	is.Equal(m.AskedAt("leaves"), asked)
+	m.SetReading("leaves", true)
+	is.True(m.IsReading("leaves"))
+	is.Equal(m.AskedAt("leaves"), clock.Now())
+	is.Equal(m.OthersAskedAt("leaves"), asked)
+	m.SetReading("leaves", false)
+	is.Equal(m.AskedAt("leaves"), asked)
+}
