--- a/internal/records/elector/fleet_test.go
+++ b/internal/records/elector/fleet_test.go
@@ -15,7 +15,7 @@
 // on the store from those that are left. Found by review/9 and review/10.
 func TestNodesLeftAreConfirmedInTimeAfterLossOfOthers(t *testing.T) {
 	losses := map[int][]int{
-		2: {1}, 3: {1, 2}, 7: {4, 6}, 9: {7, 8}, 12: {6, 11}, 18: {14, 16, 17}, 60: {20, 59}, 195: {194}, 300: {150, 299},
+		2: {1}, 3: {1, 2}, 7: {4, 6}, 9: {7, 8}, 12: {6, 11}, 18: {14, 16, 17}, 60: {20, 59}, 195: {194}, 300: {299},
 	}
 	for nodes, counts := range losses {
 		for _, lost := range counts {
@@ -34,7 +34,7 @@
 						if c.random {
 							r.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 						}
-						f.checkLoss(t, is, r, names[:lost], c.how)
+						is.True(f.checkLoss(t, is, r, names[:lost], c.how) < maxCallsPerSecond)
 					})
 				})
 			}
@@ -42,13 +42,41 @@
 	}
 }
 
+// loseFirstHalf plays the loss of those 150 of 300 nodes that have the first turns, and returns the greatest number of
+// calls of the others in a second.
+func loseFirstHalf(t *testing.T, how nodeState) (calls int) {
+	playFleet(t, 300, 150, func(is *is.I, f *playedFleet, r *rand.Rand) {
+		calls = f.checkLoss(t, is, r, f.readOrder()[:150], how)
+	})
+	return calls
+}
+
+// Guards against nodes of a large fleet that follow the store too late after the loss of half of it.
+func TestNodesLeftAreConfirmedInTimeAfterLossOfHalfOfLargeFleet(t *testing.T) {
+	for how, name := range map[nodeState]string{killed: "killed", silent: "silent"} {
+		t.Run(name, func(t *testing.T) { loseFirstHalf(t, how) })
+	}
+}
+
+// Guards against a burst of calls to the store when the nodes with the first turns are lost: the turns of the others
+// lie close together.
+func TestCallsAreBoundedAfterLossOfHalfOfLargeFleet(t *testing.T) {
+	for how, name := range map[nodeState]string{killed: "killed", silent: "silent"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(loseFirstHalf(t, how) < maxCallsPerSecond)
+		})
+	}
+}
+
 // Guards against the same when a whole zone is lost, the reader's among them.
 func TestNodesLeftAreConfirmedInTimeAfterLossOfZone(t *testing.T) {
 	for _, nodes := range []int{9, 60, 300} {
 		for zone := range zonesCount {
 			t.Run(fmt.Sprintf("zone %d of %d nodes", zone, nodes), func(t *testing.T) {
 				playFleet(t, nodes, uint64(zone), func(is *is.I, f *playedFleet, r *rand.Rand) {
-					f.checkLoss(t, is, r, f.inZone(fmt.Sprintf("zone-%d", zone)), silent)
+					calls := f.checkLoss(t, is, r, f.inZone(fmt.Sprintf("zone-%d", zone)), silent)
+					is.True(calls < maxCallsPerSecond)
 				})
 			})
 		}
@@ -80,7 +108,7 @@
 					f.setStore(state)
 					_, calls := f.observe(15 * time.Second)
 					t.Logf("at most %d calls a second", calls)
-					is.True(calls < maxCallsInOutage)
+					is.True(calls < maxCallsPerSecond)
 					f.setStore(answering)
 					time.Sleep(4 * time.Second)
 					is.True(f.oldestConfirmation() < maxConfirmedAge)
@@ -104,7 +132,7 @@
 		oldest, calls := f.observe(15 * time.Second)
 		t.Logf("oldest confirmation %v, at most %d calls a second", oldest, calls)
 		is.True(oldest < 10*time.Second)
-		is.True(calls < maxCallsInOutage)
+		is.True(calls < maxCallsPerSecond)
 	})
 }
 
--- a/internal/records/elector/played_fleet_test.go
+++ b/internal/records/elector/played_fleet_test.go
@@ -33,10 +33,8 @@
 	playedChangeTime = 3 * time.Second
 	// maxConfirmedAge is the age of the last confirmation above which a node denies nothing any more.
 	maxConfirmedAge = playedChangeTime * 8 / 10
-	// maxCallsAfterLoss and maxCallsInOutage bound the calls of all nodes to the store for one kind in a second. The store
-	// bears 2,000 for all kinds of documents.
-	maxCallsAfterLoss = 100
-	maxCallsInOutage  = 50
+	// maxCallsPerSecond bounds the calls of all nodes to the store for one kind.
+	maxCallsPerSecond = 50
 	frameDelay        = 5 * time.Millisecond
 	overdueAge        = wait + 300*time.Millisecond
 	// watchTimeout is how much longer than its wait a watch takes if the store does not answer.
@@ -347,12 +345,13 @@
 	return names
 }
 
-// checkLoss takes nodes away at a random time and checks that those left are confirmed in time with few calls.
-func (f *playedFleet) checkLoss(t *testing.T, is *is.I, r *rand.Rand, names []string, how nodeState) {
+// checkLoss takes nodes away at a random time, checks that those left are confirmed in time, and returns the greatest
+// number of their calls in a second.
+func (f *playedFleet) checkLoss(t *testing.T, is *is.I, r *rand.Rand, names []string, how nodeState) int {
 	time.Sleep(2*time.Second + time.Duration(r.IntN(1000))*time.Millisecond)
 	f.lose(names, how)
 	oldest, calls := f.observe(5 * time.Second)
 	t.Logf("oldest confirmation %v, at most %d calls a second", oldest, calls)
 	is.True(oldest < maxConfirmedAge)
-	is.True(calls < maxCallsAfterLoss)
+	return calls
 }
