--- a/review/standins-3/world.go
+++ b/review/standins-3/world.go
@@ -32,6 +32,8 @@
 		version int
 		nextID  atomic.Int64
 		clients http.Client
+		// onSend, if not nil, is called with each request before it is sent.
+		onSend func(id string, n *node)
 	}
 
 	// answer is what a client got for a request.
@@ -155,6 +157,9 @@
 	for k, v := range header {
 		r.Header.Set(k, v)
 	}
+	if w.onSend != nil {
+		w.onSend(a.id, n)
+	}
 	w.record.add("client sends %s to %s", a.id, n.name)
 	response, err := w.clients.Do(r)
 	if err == nil {
