Review: show refusals that are held back until a slow body is in

Cause: a refusal that is decided before the body of its request is read (429, 404, 503 without a configuration) is written without "Connection: close", so net/http reads the rest of the body first, without a deadline.

No code of the product changes.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -21,7 +21,7 @@
 }
 
 func run() int {
-	cases := map[string]play{"drill": playDrill, "quota": playQuota, "pause": playPause}
+	cases := map[string]play{"drill": playDrill, "quota": playQuota, "pause": playPause, "slow-bodies": playSlowBodies}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins-3 CASE RECORD")
 		return exitNotRun
