--- a/review/standins-3/drill.go
+++ b/review/standins-3/drill.go
@@ -12,8 +12,9 @@
 	drillSettle             = 5 * time.Second
 	// drillAge is how old the copy is from which the store comes back, and drillAway how long it is away.
 	drillAge, drillAway = 3 * time.Second, 300 * time.Millisecond
-	// drillWritesAgain is how long after the store is back the operator writes the evacuation again.
-	drillWritesAgain = 8 * time.Second
+	// drillWritesAgain is how long after the store is back the operator has written the evacuation again: the two seconds
+	// that entries of leafs may take, and AckMs.
+	drillWritesAgain = 7 * time.Second
 	drillAfter       = 3 * time.Second
 	evacTime         = 5 * time.Second
 	stableTime       = 4 * time.Second
