--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-go build -o target/review-3/ ./review/standins-3
+go build -tags review3 -o target/review-3/ ./review/standins-3
--- a/review/standins-3/drill.go
+++ b/review/standins-3/drill.go
@@ -1,15 +1,16 @@
+//go:build review3
+
 package main
 
 import (
-	"net/http"
 	"sync"
 	"time"
 )
 
 const (
-	drillHost, drillService = "shop.example", "book"
-	drillZone               = "olten"
-	drillSettle             = 5 * time.Second
+	drillHost   = "shop.example"
+	drillZone   = "olten"
+	drillSettle = 5 * time.Second
 	// drillAge is how old the copy is from which the store comes back, and drillAway how long it is away.
 	drillAge, drillAway = 3 * time.Second, 300 * time.Millisecond
 	// drillWritesAgain is how long after the store is back the operator has written the evacuation again: the two seconds
@@ -26,15 +27,15 @@
 // evacuation, and the operator writes it again. Without trouble the store is not restored.
 func playDrill(w *world) (bool, error) {
 	for _, zone := range []string{"olten", "aarau", "brugg"} {
-		if _, err := w.addLeaf("leaf-"+zone, drillService, zone, 5*time.Millisecond); err != nil {
+		if _, err := w.addLeaf(zone); err != nil {
 			return false, err
 		}
 	}
 	w.putConfig([]map[string]any{{
 		"Name": "r", "Host": drillHost, "PathPrefix": "/book/", "RouteType": "idempotent", "TimeoutMs": 2000,
-		"TargetLatencyMs": 500, "Priority": 1, "Service": drillService, "Attempts": 2,
-	}}, []string{drillService}, nil)
-	if err := w.startNodes(3, nil); err != nil {
+		"TargetLatencyMs": 500, "Priority": 1, "Service": oneService, "Attempts": 2,
+	}}, []string{oneService}, nil)
+	if err := w.startNodes(nil); err != nil {
 		return false, err
 	}
 	stop := make(chan struct{})
@@ -47,7 +48,7 @@
 					return
 				case <-time.After(drillPause):
 				}
-				w.send(n, http.MethodGet, drillHost, "/book/x", nil, drillTimeLeft)
+				w.send(n, drillHost, "/book/x", nil, drillTimeLeft)
 			}
 		})
 	}
--- a/review/standins-3/leaf.go
+++ b/review/standins-3/leaf.go
@@ -1,6 +1,9 @@
+//go:build review3
+
 package main
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
@@ -17,6 +20,11 @@
 	headerSignature = "Magnoliastep-Response-Signature"
 	headerNotRun    = "Magnoliastep-Not-Executed"
 	headerTenant    = "Magnoliastep-Tenant"
+
+	// oneService is the service of the leafs of most cases, and leafWork how long they work on a request.
+	oneService = "book"
+	leafWork   = 5 * time.Millisecond
+	headTime   = 10 * time.Second
 )
 
 type (
@@ -32,7 +40,6 @@
 		id, service, zone string
 		address           string
 		born              int64
-		work              time.Duration
 		mutex             sync.Mutex
 		arrivals          []arrival
 		// answer, if not nil, answers in place of the leaf's usual answer.
@@ -40,24 +47,23 @@
 	}
 )
 
-func startLeaf(r *record, ip, id, service, zone string, work time.Duration) (*leaf, error) {
-	listener, err := net.Listen("tcp", ip+":0")
+func startLeaf(r *record, ip, id, zone string) (*leaf, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
 	l := &leaf{
-		record: r, id: id, service: service, zone: zone, address: listener.Addr().String(),
-		born: time.Now().UnixMilli(), work: work,
+		record: r, id: id, service: oneService, zone: zone, address: listener.Addr().String(), born: time.Now().UnixMilli(),
 	}
-	go func() { _ = (&http.Server{Handler: l}).Serve(listener) }()
+	go func() { _ = (&http.Server{Handler: l, ReadHeaderTimeout: headTime}).Serve(listener) }()
 	return l, nil
 }
 
 // entry returns the leaf's entry in the store.
-func (l *leaf) entry(state string, seq int) map[string]any {
+func (l *leaf) entry() map[string]any {
 	return map[string]any{
 		"Service": l.service, "Address": l.address, "Zone": l.zone, "Version": "v1", "MaxConcurrency": 6,
-		"State": state, "WarmupLeftMs": 0, "Seq": seq, "born": l.born,
+		"State": "ready", "WarmupLeftMs": 0, "Seq": 1, "born": l.born,
 	}
 }
 
@@ -90,7 +96,7 @@
 		return
 	}
 	l.run(a)
-	time.Sleep(l.work)
+	time.Sleep(leafWork)
 	w.Header().Set(headerSignature, signatureOf(l.service, a.id))
 	_, _ = io.WriteString(w, "answer of "+l.service+" to "+a.id)
 }
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 // Command standins-3 plays the cases of the third review that are scripts: it starts the project's processes beside
 // stand-ins of the platform, of leafs and of clients, and checks one rule by what these have seen.
 package main
@@ -21,7 +23,9 @@
 }
 
 func run() int {
-	cases := map[string]play{"drill": playDrill, "quota": playQuota, "pause": playPause, "slow-bodies": playSlowBodies}
+	cases := map[string]play{
+		"slow-bodies": playSlowBodies, "drill": playDrill, "quota": playQuota, "pause": playPause,
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins-3 CASE RECORD")
 		return exitNotRun
--- a/review/standins-3/node.go
+++ b/review/standins-3/node.go
@@ -1,6 +1,9 @@
+//go:build review3
+
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -70,7 +73,7 @@
 
 // start starts the process with the command of the deploy file.
 func (n *node) start() error {
-	n.process = exec.Command("target/stepfront", "run")
+	n.process = exec.CommandContext(context.Background(), "target/stepfront", "run")
 	n.process.Env = []string{"MAGNOLIASTEP_CONFIG=" + n.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	n.process.Stdout, n.process.Stderr = n.log, n.log
 	n.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/standins-3/pause.go
+++ b/review/standins-3/pause.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
@@ -8,7 +10,7 @@
 )
 
 const (
-	pauseHost, pauseService = "shop.example", "book"
+	pauseHost = "shop.example"
 	// pauseAsked is the time for which a leaf wants no requests.
 	pauseAsked = 90 * time.Second
 	// pauseLead is the time after the leaf's 503 in which requests may still reach it, and pauseAllowed how many may later.
@@ -33,7 +35,7 @@
 func playPause(w *world) (bool, error) {
 	p := &pausing{sentTo: map[string]string{}, askedAt: map[string]time.Time{}, late: map[string]int{}}
 	for _, zone := range []string{"olten", "aarau", "brugg"} {
-		l, err := w.addLeaf("leaf-"+zone, pauseService, zone, 5*time.Millisecond)
+		l, err := w.addLeaf(zone)
 		if err != nil {
 			return false, err
 		}
@@ -43,9 +45,9 @@
 	}
 	w.putConfig([]map[string]any{{
 		"Name": "r", "Host": pauseHost, "PathPrefix": "/book/", "RouteType": "idempotent", "TimeoutMs": 2000,
-		"TargetLatencyMs": 500, "Priority": 1, "Service": pauseService, "Attempts": 2,
-	}}, []string{pauseService}, nil)
-	if err := w.startNodes(3, nil); err != nil {
+		"TargetLatencyMs": 500, "Priority": 1, "Service": oneService, "Attempts": 2,
+	}}, []string{oneService}, nil)
+	if err := w.startNodes(nil); err != nil {
 		return false, err
 	}
 	time.Sleep(pauseSettle)
@@ -56,7 +58,7 @@
 		for range 2 {
 			clients.Go(func() {
 				for ; time.Now().Before(until); time.Sleep(pauseEvery) {
-					w.send(n, http.MethodGet, pauseHost, "/book/x", nil, pauseTimeLeft)
+					w.send(n, pauseHost, "/book/x", nil, pauseTimeLeft)
 				}
 			})
 		}
--- a/review/standins-3/quota.go
+++ b/review/standins-3/quota.go
@@ -1,15 +1,16 @@
+//go:build review3
+
 package main
 
 import (
-	"net/http"
 	"sort"
 	"sync"
 	"time"
 )
 
 const (
-	quotaHost, quotaService = "shop.example", "book"
-	quotaKey                = "key-of-the-tenant"
+	quotaHost = "shop.example"
+	quotaKey  = "key-of-the-tenant"
 	// In any quotaWindow a tenant may exceed its quota by the share quotaOver and by quotaSlack requests.
 	quotaWindow           = 5 * time.Second
 	quotaOver, quotaSlack = 0.1, 20.0
@@ -27,12 +28,12 @@
 // than its quota. Without trouble the burst is raised once.
 func playQuota(w *world) (bool, error) {
 	for _, zone := range []string{"olten", "aarau", "brugg"} {
-		if _, err := w.addLeaf("leaf-"+zone, quotaService, zone, 5*time.Millisecond); err != nil {
+		if _, err := w.addLeaf(zone); err != nil {
 			return false, err
 		}
 	}
 	w.putQuota(quotaSmall)
-	err := w.startNodes(3, map[string]any{
+	err := w.startNodes(map[string]any{
 		"StrictRevoke": false, "RevokeMs": 5000, "QuotaWindowS": quotaWindow.Seconds(), "QuotaOver": quotaOver,
 		"QuotaSlack": quotaSlack,
 	})
@@ -63,9 +64,9 @@
 func (w *world) putQuota(burst float64) {
 	routes := []map[string]any{{
 		"Name": "r", "Host": quotaHost, "PathPrefix": "/book/", "RouteType": "idempotent", "TimeoutMs": 2000,
-		"TargetLatencyMs": 500, "Priority": 1, "Service": quotaService, "Attempts": 1,
+		"TargetLatencyMs": 500, "Priority": 1, "Service": oneService, "Attempts": 1,
 	}}
-	w.putConfig(routes, []string{quotaService}, map[string]any{"Tenants": []map[string]any{{
+	w.putConfig(routes, []string{oneService}, map[string]any{"Tenants": []map[string]any{{
 		"Name": "t1", "ApiKeys": []string{quotaKey}, "RatePerS": quotaRate, "Burst": burst,
 	}}})
 }
@@ -80,7 +81,7 @@
 	for i := 0; time.Now().Before(until); i++ {
 		<-ticker.C
 		requests.Go(func() {
-			w.send(w.nodes[i%len(w.nodes)], http.MethodGet, quotaHost, "/book/x",
+			w.send(w.nodes[i%len(w.nodes)], quotaHost, "/book/x",
 				map[string]string{"Authorization": "Token " + quotaKey}, quotaTimeLeft)
 		})
 	}
--- a/review/standins-3/record.go
+++ b/review/standins-3/record.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
--- a/review/standins-3/slowbody.go
+++ b/review/standins-3/slowbody.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
@@ -11,8 +13,8 @@
 )
 
 const (
-	slowHost, slowService = "shop.example", "book"
-	slowKey               = "key-of-the-tenant"
+	slowHost = "shop.example"
+	slowKey  = "key-of-the-tenant"
 	// slowTimeout is the TimeoutMs of the route, slowTimeLeft how long clients wait.
 	slowTimeout, slowTimeLeft = 2 * time.Second, 8 * time.Second
 	// slowMargin is how long after TimeoutMs a request must be answered at the latest.
@@ -28,7 +30,7 @@
 // playSlowBodies has a tenant send requests whose bodies arrive slowly. With trouble they are beyond the tenant's quota.
 func playSlowBodies(w *world) (bool, error) {
 	for _, zone := range []string{"olten", "aarau", "brugg"} {
-		if _, err := w.addLeaf("leaf-"+zone, slowService, zone, 5*time.Millisecond); err != nil {
+		if _, err := w.addLeaf(zone); err != nil {
 			return false, err
 		}
 	}
@@ -38,11 +40,11 @@
 	}
 	w.putConfig([]map[string]any{{
 		"Name": "r", "Host": slowHost, "PathPrefix": "/book/", "RouteType": "idempotent",
-		"TimeoutMs": slowTimeout.Milliseconds(), "TargetLatencyMs": 500, "Priority": 1, "Service": slowService, "Attempts": 2,
-	}}, []string{slowService}, map[string]any{"Tenants": []map[string]any{{
+		"TimeoutMs": slowTimeout.Milliseconds(), "TargetLatencyMs": 500, "Priority": 1, "Service": oneService, "Attempts": 2,
+	}}, []string{oneService}, map[string]any{"Tenants": []map[string]any{{
 		"Name": "t1", "ApiKeys": []string{slowKey}, "RatePerS": rate, "Burst": burst,
 	}}})
-	if err := w.startNodes(3, map[string]any{"QuotaWindowS": 5, "QuotaOver": 0.1, "QuotaSlack": 0}); err != nil {
+	if err := w.startNodes(map[string]any{"QuotaWindowS": 5, "QuotaOver": 0.1, "QuotaSlack": 0}); err != nil {
 		return false, err
 	}
 	time.Sleep(slowSettle)
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -1,6 +1,9 @@
+//go:build review3
+
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -59,7 +62,7 @@
 )
 
 func startStore(r *record, ip string) (*store, error) {
-	l, err := net.Listen("tcp", ip+":0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
@@ -67,7 +70,7 @@
 		record: r, address: l.Addr().String(), listener: l, changed: make(chan struct{}), rev: 10, era: 3,
 		objects: map[string]map[string]object{},
 	}
-	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
+	go func() { _ = (&http.Server{Handler: s, ReadHeaderTimeout: headTime}).Serve(l) }()
 	return s, nil
 }
 
@@ -92,19 +95,6 @@
 	return time.Now()
 }
 
-// remove removes an object on behalf of its owner.
-func (s *store) remove(kind, name string) time.Time {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if o, exists := s.objects[kind][name]; exists {
-		s.rev++
-		o.Meta.Rev = s.rev
-		delete(s.objects[kind], name)
-		s.addLocked(event{Deleted: true, Object: o, kind: kind})
-	}
-	return time.Now()
-}
-
 // copy returns a copy of what the store holds now.
 func (s *store) copy() storeCopy {
 	s.mutex.Lock()
--- a/review/standins-3/world.go
+++ b/review/standins-3/world.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
@@ -11,11 +13,14 @@
 	"os"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
-const networkTries = 50
+const (
+	networkTries = 50
+	// machines is the number of machines, one in each zone.
+	machines = 3
+)
 
 var errNoNetwork = errors.New("no free loopback network")
 
@@ -66,7 +71,7 @@
 func freeNetwork() (string, error) {
 	for range networkTries {
 		prefix := fmt.Sprintf("127.%d.%d", 60+rand.IntN(190), 1+rand.IntN(250))
-		l, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", prefix, frontPort))
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", fmt.Sprintf("%s.1:%d", prefix, frontPort))
 		if err != nil {
 			continue
 		}
@@ -77,18 +82,18 @@
 }
 
 // addLeaf starts a leaf and registers it.
-func (w *world) addLeaf(id, service, zone string, work time.Duration) (*leaf, error) {
-	l, err := startLeaf(w.record, w.network+".251", id, service, zone, work)
+func (w *world) addLeaf(zone string) (*leaf, error) {
+	l, err := startLeaf(w.record, w.network+".251", "leaf-"+zone, zone)
 	if err != nil {
 		return nil, err
 	}
 	w.leaves = append(w.leaves, l)
-	w.store.put("servers", id, l.entry("ready", 1))
+	w.store.put("servers", l.id, l.entry())
 	return l, nil
 }
 
 // putConfig writes the next version of the configuration.
-func (w *world) putConfig(routes []map[string]any, services []string, more map[string]any) time.Time {
+func (w *world) putConfig(routes []map[string]any, services []string, more map[string]any) {
 	w.version += 3
 	var list []map[string]any
 	for _, s := range services {
@@ -106,19 +111,18 @@
 	for k, v := range more {
 		c[k] = v
 	}
-	at := w.store.put("config", "main", c)
+	w.store.put("config", "main", c)
 	w.record.add("the operator's version %d is acknowledged: %v", w.version, more)
-	return at
 }
 
 // startNodes starts machines and waits until they are ready.
-func (w *world) startNodes(count int, bounds map[string]any) error {
-	seeds := []string{}
-	for i := range min(count, 3) {
+func (w *world) startNodes(bounds map[string]any) error {
+	var seeds []string
+	for i := range machines {
 		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", w.network, i+1, controlPort))
 	}
 	zones := []string{"olten", "aarau", "brugg"}
-	for i := range count {
+	for i := range machines {
 		zone := zones[i%len(zones)]
 		n, err := newNode(w.folder, fmt.Sprintf("front-%s-%d", zone, i+1), zone, fmt.Sprintf("%s.%d", w.network, i+1),
 			w.store.address, seeds, bounds)
@@ -135,7 +139,7 @@
 			return err
 		}
 	}
-	w.record.add("%d processes are ready", count)
+	w.record.add("%d processes are ready", machines)
 	return nil
 }
 
@@ -143,11 +147,11 @@
 func (w *world) newID() string { return fmt.Sprintf("q%06d", w.nextID.Add(1)) }
 
 // send sends one request and waits for its answer, at most for the time left.
-func (w *world) send(n *node, method, host, path string, header map[string]string, timeLeft time.Duration) answer {
+func (w *world) send(n *node, host, path string, header map[string]string, timeLeft time.Duration) answer {
 	a := answer{id: w.newID(), sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), timeLeft)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", n.ip, frontPort, path), nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d%s", n.ip, frontPort, path), nil)
 	if err != nil {
 		panic(err)
 	}
@@ -184,13 +188,3 @@
 		_ = os.RemoveAll(w.folder)
 	}
 }
-
-// stopAll ends all processes by SIGTERM and waits until they have ended.
-func (w *world) stopAll() {
-	for _, n := range w.nodes {
-		n.signal(syscall.SIGTERM)
-	}
-	for _, n := range w.nodes {
-		<-n.exited
-	}
-}
