Review: show foreign signatures in gathered answers

Cause: the first part of a second copy of an answer and the answer behind it are read as one head, and the first of two signatures is taken.

No code of the product changes.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -24,7 +24,7 @@
 
 func run() int {
 	cases := map[string]play{
-		"slow-bodies": playSlowBodies, "drill": playDrill, "quota": playQuota, "pause": playPause,
+		"mixed": playMixed, "slow-bodies": playSlowBodies, "drill": playDrill, "quota": playQuota, "pause": playPause,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins-3 CASE RECORD")
