--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 const (
@@ -42,6 +44,13 @@
 		return exitNotRun
 	}
 	defer w.end()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-signals
+		w.end()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[os.Args[1]](w)
 	switch {
 	case err != nil:
--- a/review/standins-3/node.go
+++ b/review/standins-3/node.go
@@ -108,8 +108,8 @@
 
 // end ends the process at once and waits for that.
 func (n *node) end() {
-	if n.process == nil {
-		return
+	if n.exited == nil {
+		return // it was never started
 	}
 	n.signal(syscall.SIGCONT)
 	n.signal(syscall.SIGKILL)
